Do not refuse requests that waited for a home before the shutdown

The shutdown began at 13.0 s; when the take-over was open at 13.3 s, the request was decided like a new one and refused as not_run/shutting_down, although it was in progress when the shutdown began.

Change: a waiting request keeps its time of arrival, and only requests that arrive after the beginning of the shutdown are refused for it. The process already waits for requests in progress before it ends.

--- a/core/src/main/java/io/coriandermux/core/entry/CallerStage.java
+++ b/core/src/main/java/io/coriandermux/core/entry/CallerStage.java
@@ -83,7 +83,8 @@
 			wait = DECIDE_MILLIS;
 		}
 		long until = this.context.nanosIn(wait);
-		Waiter waiter = new Waiter(requester, request, until, this.context.nanosIn(wait + DECIDE_MILLIS));
+		Waiter waiter = new Waiter(requester, request, this.context.now().nanos(), until,
+				this.context.nanosIn(wait + DECIDE_MILLIS));
 		if (waiting() >= this.context.settings().maxJobs()) {
 			this.context.refuse(requester, Outcome.UNDECIDED, ReplyCode.ENTRY_FULL, "too many requests wait",
 					RETRY_AFTER_MILLIS);
@@ -259,7 +260,8 @@
 		long until = waiter.untilNanos() + END_MILLIS * NANOS_PER_MILLI;
 		if (job.cause().isPresent() && until < waiter.decideByNanos()) {
 			this.context.waiters()
-				.add(job.key(), new Waiter(waiter.requester(), waiter.request(), until, waiter.untilNanos()));
+				.add(job.key(), new Waiter(waiter.requester(), waiter.request(), waiter.arrivedNanos(), until,
+						waiter.untilNanos()));
 		}
 		else {
 			this.context.reply(waiter.requester(), job.progress());
--- a/core/src/main/java/io/coriandermux/core/entry/HomeStage.java
+++ b/core/src/main/java/io/coriandermux/core/entry/HomeStage.java
@@ -16,6 +16,7 @@
 import io.coriandermux.core.id.Partition;
 import io.coriandermux.core.message.Leaving;
 import io.coriandermux.core.notice.NoticeKind;
+import io.coriandermux.core.reply.Waiter;
 
 /**
  * Decides on the home table: its first content, take-over from dead entries, and
@@ -70,6 +71,8 @@
 
 	private boolean shuttingDown;
 
+	private long shutDownNanos;
+
 	HomeStage(EntryContext context, PeerStage peers) {
 		this.context = context;
 		this.peers = peers;
@@ -112,6 +115,7 @@
 
 	void shutDown() {
 		this.shuttingDown = true;
+		this.shutDownNanos = this.context.now().nanos();
 		this.peers.tellLeaving();
 	}
 
@@ -226,6 +230,12 @@
 		return this.shuttingDown;
 	}
 
+	// A request that waited for its home when the shutdown began is in progress, so it is
+	// not refused.
+	boolean isClosedTo(Waiter waiter) {
+		return this.shuttingDown && waiter.arrivedNanos() > this.shutDownNanos;
+	}
+
 	// Whether no partition is left that another entry could take.
 	boolean isHandedOver() {
 		return this.context.homes().own().isEmpty() || this.peers.targets(false).isEmpty();
--- a/core/src/main/java/io/coriandermux/core/entry/JobStage.java
+++ b/core/src/main/java/io/coriandermux/core/entry/JobStage.java
@@ -147,7 +147,7 @@
 		if (!(found.isEmpty() && certain) && !canJoin(waiter)) {
 			return;
 		}
-		Optional<Refusal> refusal = found.isEmpty() ? refusal(submit) : Optional.empty();
+		Optional<Refusal> refusal = found.isEmpty() ? refusal(waiter, submit) : Optional.empty();
 		if (refusal.isPresent() && (certain || refusal.get().outcome() != Outcome.NOT_RUN)) {
 			this.claims.refuse(waiter.requester(), submit.owner(), refusal.get());
 			return;
@@ -190,7 +190,7 @@
 	// Nothing is claimed about tasks that a former home may have started.
 	private boolean canJoin(Waiter waiter) {
 		boolean full = !this.context.jobs().hasRoom();
-		if (full || this.homes.isShuttingDown()) {
+		if (full || this.homes.isClosedTo(waiter)) {
 			this.context.refuse(waiter.requester(), Outcome.UNDECIDED,
 					full ? ReplyCode.ENTRY_FULL : ReplyCode.SHUTTING_DOWN, "the entry accepts no job now",
 					RETRY_AFTER_MILLIS);
@@ -199,13 +199,13 @@
 		return true;
 	}
 
-	private Optional<Refusal> refusal(SubmitJob submit) {
+	private Optional<Refusal> refusal(Waiter waiter, SubmitJob submit) {
 		Optional<Refusal> age = this.idCheck.check(submit, this.context.now());
 		if (age.isPresent()) {
 			return age;
 		}
 		long ageMillis = this.context.now().epochMillis() - IdCheck.createdAtMillis(submit);
-		if (this.homes.isShuttingDown()) {
+		if (this.homes.isClosedTo(waiter)) {
 			return Optional.of(notRun(ReplyCode.SHUTTING_DOWN, "the entry shuts down", RETRY_AFTER_MILLIS));
 		}
 		if (!this.context.jobs().hasRoom()) {
--- a/core/src/test/java/io/coriandermux/core/route/RouteTests.java
+++ b/core/src/test/java/io/coriandermux/core/route/RouteTests.java
@@ -64,7 +64,7 @@
 	@Example
 	void replyBelongsToTheRequestThatWasPassedToItsSender() {
 		Forwards forwards = new Forwards(40);
-		Waiter waiter = new Waiter(Requester.caller(1), new ReserveJobId(OWNER), 10, 20);
+		Waiter waiter = new Waiter(Requester.caller(1), new ReserveJobId(OWNER), 0, 10, 20);
 		long correlation = forwards.add(waiter, HOME).correlation();
 		assertThat(correlation).isEqualTo(41);
 		HomeMember successor = new HomeMember(HOME.entry(), new Incarnation(3));
@@ -77,7 +77,7 @@
 	@Example
 	void requestsOfADeadEntryAreDecidedAgain() {
 		Forwards forwards = new Forwards(0);
-		Waiter waiter = new Waiter(Requester.caller(1), new ReserveJobId(OWNER), 10, 20);
+		Waiter waiter = new Waiter(Requester.caller(1), new ReserveJobId(OWNER), 0, 10, 20);
 		forwards.add(waiter, HOME);
 		assertThat(forwards.take(HOME)).containsExactly(waiter);
 		assertThat(forwards.expire(new Moment(20, 0))).isEmpty();
