Accept the echo of a heartbeat only for the clock of its receiver

A heartbeat that reached the wrong entry gave that entry the reading of another process's monotonic clock.

Change: a heartbeat names the incarnation whose clock it echoes, and an entry takes only echoes of its own clock, from guards and from other entries.

On the links of the daemon a heartbeat cannot reach a wrong process, since a connection knows its peer.

--- a/bench/src/main/java/io/coriandermux/bench/capacity/NodeFixture.java
+++ b/bench/src/main/java/io/coriandermux/bench/capacity/NodeFixture.java
@@ -124,7 +124,7 @@
 		this.guards.keySet().forEach((guard) -> {
 			long clock = this.now.nanos();
 			entry(new GuardMessage(guard, this.infos.get(guard).incarnation(),
-					new Heartbeat(clock, clock, new Revision(1), new Revision(1))));
+					new Heartbeat(clock, clock, this.self.incarnation(), new Revision(1), new Revision(1))));
 		});
 		entry(new EntryTick());
 		this.guards.keySet().forEach((guard) -> guard(guard, new GuardTick()));
--- a/bench/src/main/java/io/coriandermux/bench/capacity/WireProbes.java
+++ b/bench/src/main/java/io/coriandermux/bench/capacity/WireProbes.java
@@ -4,6 +4,7 @@
 
 import io.coriandermux.core.id.AttemptId;
 import io.coriandermux.core.id.Epoch;
+import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.JobKey;
 import io.coriandermux.core.id.Partition;
 import io.coriandermux.core.id.Revision;
@@ -71,7 +72,8 @@
 		double total = 0;
 		for (int number = 0; number < size; number++) {
 			long clock = CLOCK_NANOS + number;
-			Message heartbeat = new Heartbeat(clock, clock, new Revision(REVISION), new Revision(REVISION));
+			Message heartbeat = new Heartbeat(clock, clock, new Incarnation(clock), new Revision(REVISION),
+					new Revision(REVISION));
 			total += encode(heartbeat).length + FRAME_HEADER_BYTES;
 		}
 		return total;
--- a/core/src/main/java/io/coriandermux/core/entry/GuardStage.java
+++ b/core/src/main/java/io/coriandermux/core/entry/GuardStage.java
@@ -122,7 +122,8 @@
 		link.heard(heartbeat.clockNanos());
 		// Before its first fence is answered the guard may hold a higher epoch, so its
 		// acknowledgement does not confirm the home yet.
-		if (heartbeat.echoNanos() != 0 && link.isFenced(this.context.homes().own())) {
+		if (heartbeat.isEchoOf(this.context.settings().self().incarnation())
+				&& link.isFenced(this.context.homes().own())) {
 			link.acknowledged(heartbeat.echoNanos());
 		}
 	}
--- a/core/src/main/java/io/coriandermux/core/entry/PeerStage.java
+++ b/core/src/main/java/io/coriandermux/core/entry/PeerStage.java
@@ -158,7 +158,7 @@
 		this.revisions.put(peer, heartbeat.homes());
 		// The time at which the peer answers is bounded below by the reading that it
 		// echoes.
-		if (heartbeat.echoNanos() != 0) {
+		if (heartbeat.isEchoOf(this.self.incarnation())) {
 			this.heardNanos.merge(peer, heartbeat.echoNanos(), Math::max);
 		}
 		if (hasNewerHomes(peer)) {
--- a/core/src/test/java/io/coriandermux/core/entry/TestBed.java
+++ b/core/src/test/java/io/coriandermux/core/entry/TestBed.java
@@ -284,8 +284,8 @@
 
 	private void heartbeat(EntryInfo entry, GuardInfo guard) {
 		if (!isCut(entry.entry().value(), guard.guard().value())) {
-			entry(entry, new GuardMessage(guard.guard(), guard.incarnation(),
-					new Heartbeat(this.now.nanos(), echo(entry), new Revision(0), new Revision(0))));
+			entry(entry, new GuardMessage(guard.guard(), guard.incarnation(), new Heartbeat(this.now.nanos(),
+					echo(entry), entry.incarnation(), new Revision(0), new Revision(0))));
 		}
 	}
 
@@ -300,7 +300,7 @@
 	private void heartbeat(EntryInfo to, EntryInfo from) {
 		if (!this.paused.containsKey(from) && !to.equals(from) && !isCut(to.entry().value(), from.entry().value())) {
 			entry(to, new PeerMessage(from.entry(), from.incarnation(), new Heartbeat(this.now.nanos(), echo(to),
-					new Revision(0), this.entries.get(from).status(this.now).homes())));
+					to.incarnation(), new Revision(0), this.entries.get(from).status(this.now).homes())));
 		}
 	}
 
--- a/proof/src/main/java/io/coriandermux/proof/world/EntryProcess.java
+++ b/proof/src/main/java/io/coriandermux/proof/world/EntryProcess.java
@@ -114,7 +114,8 @@
 
 	private void beat(Remote remote) {
 		EntryStatus status = this.logic.status(moment());
-		Heartbeat beat = new Heartbeat(moment().nanos(), remote.clock(), status.tables(), status.homes());
+		Heartbeat beat = new Heartbeat(moment().nanos(), remote.clock(), remote.incarnation(), status.tables(),
+				status.homes());
 		world().journal()
 			.add(new RevisionsHeld(world().timeline().now(), name(), incarnation(), beat.config().value(),
 					beat.homes().value()));
--- a/proof/src/main/java/io/coriandermux/proof/world/GuardProcess.java
+++ b/proof/src/main/java/io/coriandermux/proof/world/GuardProcess.java
@@ -82,7 +82,8 @@
 	}
 
 	private void beat(String entry) {
-		Heartbeat beat = new Heartbeat(moment().nanos(), this.clocks.get(entry), this.config, this.homes);
+		Heartbeat beat = new Heartbeat(moment().nanos(), this.clocks.get(entry),
+				new Incarnation(this.peers.get(entry).incarnation()), this.config, this.homes);
 		world().journal()
 			.add(new RevisionsHeld(world().timeline().now(), name(), incarnation(), beat.config().value(),
 					beat.homes().value()));
--- a/wire/src/main/java/io/coriandermux/wire/Links.java
+++ b/wire/src/main/java/io/coriandermux/wire/Links.java
@@ -255,7 +255,8 @@
 		}
 		connection.heartbeatSent(now);
 		Revisions revisions = this.context.revisions().get();
-		send(connection, new Heartbeat(now, connection.peerClockNanos(), revisions.config(), revisions.homes()));
+		send(connection, new Heartbeat(now, connection.peerClockNanos(), connection.peer().incarnation(),
+				revisions.config(), revisions.homes()));
 	}
 
 	private void send(Connection connection, Message message) {
--- a/wire/src/main/java/io/coriandermux/wire/NeighbourMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/NeighbourMessages.java
@@ -37,7 +37,7 @@
 
 	private static final int HOMES_PUSH = 35;
 
-	private static final int HEARTBEAT_FIELDS = 4;
+	private static final int HEARTBEAT_FIELDS = 5;
 
 	private static final int HOMES_FIELDS = 4;
 
@@ -45,8 +45,8 @@
 
 	static final List<MessageType<?>> TYPES = List.of(
 			new MessageType<>(HEARTBEAT, Heartbeat.class, HEARTBEAT_FIELDS, NeighbourMessages::writeHeartbeat,
-					(in) -> new Heartbeat(in.number(), in.number(), new Revision(in.number()),
-							new Revision(in.number()))),
+					(in) -> new Heartbeat(in.number(), in.number(), new Incarnation(in.number()),
+							new Revision(in.number()), new Revision(in.number()))),
 			new MessageType<>(FORWARD, Forward.class, 2, (out, message) -> {
 				out.number(message.correlation());
 				RequestCodec.write(out, message.request());
@@ -71,6 +71,7 @@
 	private static void writeHeartbeat(FieldWriter out, Heartbeat heartbeat) throws IOException {
 		out.number(heartbeat.clockNanos());
 		out.number(heartbeat.echoNanos());
+		out.number(heartbeat.echoed().value());
 		out.number(heartbeat.config().value());
 		out.number(heartbeat.homes().value());
 	}
--- a/wire/src/test/java/io/coriandermux/wire/Messages.java
+++ b/wire/src/test/java/io/coriandermux/wire/Messages.java
@@ -85,7 +85,8 @@
 
 	private static final TaskSpec SPEC = new TaskSpec("/render", BODY, new Resources(1, 2, 3), 4);
 
-	static final List<Message> ALL = List.of(new Heartbeat(-1, Long.MAX_VALUE, new Revision(3), new Revision(4)),
+	static final List<Message> ALL = List.of(
+			new Heartbeat(-1, Long.MAX_VALUE, new Incarnation(5), new Revision(3), new Revision(4)),
 			new Start(TASK, new AttemptId(9), new Partition(1023), new Epoch(5), -6, "/p", BODY, 100, true, 3),
 			new Answer(TASK, new AttemptId(9), LedgerState.FAILED, BODY, true, 77, 3, true),
 			new Refused(TASK, new AttemptId(9), StartRefusal.NOT_READY, new Epoch(8)),
