Tell the entry that asks for a run again how it ends

Cause: a caller whose entry died hands its batch in again at another entry, whose first order carries the same run number. If the guard still held that run, it ignored the order and reported the end to the dead entry, so the new entry waited until its caller gave up.

Change: the guard passes the run on to the entry that asked last. A run that still goes on under it is finished for that entry, since a batch handed in again has the same content; one that is being stopped is reported as stopped and starts again.

Ruled out: refusing the order, after which the entry would start the task a second time beside the run.

Test, failing before: LeaseNodeTests.tellsTheEntryThatAsksForARunAgainHowItEnds.

The records used as keys get equals and hashCode of their own: the generated ones are linked at run time, which costs method handles at each start and, with the first compiler tier only, at each call. Not measured alone.

--- a/core/src/main/java/io/coriandermux/core/dispatch/CallerRef.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/CallerRef.java
@@ -7,4 +7,14 @@
  */
 public record CallerRef(long value) {
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof CallerRef that && this.value == that.value;
+	}
+
+	@Override
+	public int hashCode() {
+		return Long.hashCode(this.value);
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/id/EntryId.java
+++ b/core/src/main/java/io/coriandermux/core/id/EntryId.java
@@ -27,4 +27,14 @@
 		return this.value;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof EntryId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/id/GuardId.java
+++ b/core/src/main/java/io/coriandermux/core/id/GuardId.java
@@ -27,4 +27,14 @@
 		return this.value;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof GuardId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/id/Incarnation.java
+++ b/core/src/main/java/io/coriandermux/core/id/Incarnation.java
@@ -26,4 +26,14 @@
 		return Long.compare(this.value, other.value);
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof Incarnation that && this.value == that.value;
+	}
+
+	@Override
+	public int hashCode() {
+		return Long.hashCode(this.value);
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/id/OwnerId.java
+++ b/core/src/main/java/io/coriandermux/core/id/OwnerId.java
@@ -28,4 +28,14 @@
 		return this.value;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof OwnerId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/id/PoolName.java
+++ b/core/src/main/java/io/coriandermux/core/id/PoolName.java
@@ -27,4 +27,14 @@
 		return this.value;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof PoolName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/id/RouteName.java
+++ b/core/src/main/java/io/coriandermux/core/id/RouteName.java
@@ -27,4 +27,14 @@
 		return this.value;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof RouteName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/lease/EndpointLife.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EndpointLife.java
@@ -9,9 +9,21 @@
  */
 public record EndpointLife(String id, long bornMillis) {
 
+	private static final int HASH_FACTOR = 31;
+
 	@Override
 	public String toString() {
 		return this.id + "@" + this.bornMillis;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof EndpointLife that && this.bornMillis == that.bornMillis && this.id.equals(that.id);
+	}
+
+	@Override
+	public int hashCode() {
+		return HASH_FACTOR * this.id.hashCode() + Long.hashCode(this.bornMillis);
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -29,12 +29,12 @@
 
 	final RunId run;
 
-	final EntryId entry;
-
 	final Amounts needs;
 
 	final long askedNanos;
 
+	private EntryId entry;
+
 	private State state = State.ASKED;
 
 	private RunOutcome stopReason = RunOutcome.STOPPED;
@@ -58,6 +58,14 @@
 		this.progressNanos = nowNanos;
 	}
 
+	EntryId entry() {
+		return this.entry;
+	}
+
+	void entry(EntryId next) {
+		this.entry = next;
+	}
+
 	State state() {
 		return this.state;
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
@@ -351,7 +351,12 @@
 	private void start(EntryId entry, EntrySession session, StartRun start, Moment now) {
 		session.ordered(start.order());
 		session.informed(false);
-		if (this.runs.contains(start.run())) {
+		Optional<HeldRun> held = this.runs.of(start.run());
+		if (held.isPresent()) {
+			// The caller has handed its batch in again at another entry, which now waits
+			// for
+			// the end of this run.
+			held.get().entry(entry);
 			return;
 		}
 		if (this.reports.isEnded(start.run())) {
@@ -381,7 +386,7 @@
 	private void reconcile(EntryId entry, List<RunId> wanted, Moment now) {
 		this.runs.all()
 			.stream()
-			.filter((held) -> held.entry.equals(entry) && !wanted.contains(held.run))
+			.filter((held) -> held.entry().equals(entry) && !wanted.contains(held.run))
 			.forEach((held) -> this.runs.stop(held, RunOutcome.STOPPED, now.nanos()));
 		wanted.stream()
 			.filter((run) -> !this.runs.contains(run))
@@ -477,7 +482,7 @@
 	}
 
 	private void stopAll(EntryId entry, String reason, Moment now) {
-		List<HeldRun> own = this.runs.all().stream().filter((held) -> held.entry.equals(entry)).toList();
+		List<HeldRun> own = this.runs.all().stream().filter((held) -> held.entry().equals(entry)).toList();
 		if (!own.isEmpty()) {
 			notice(NoticeKind.SESSION_ENDED, entry.value(), own.size() + " runs stopped: " + reason);
 		}
@@ -486,13 +491,13 @@
 
 	private void ended(HeldRun held, RunOutcome outcome) {
 		long runMillis = (this.nowNanos - held.askedNanos) / NANOS_PER_MILLI;
-		this.reports.ended(held.entry, held.run, outcome, runMillis);
+		this.reports.ended(held.entry(), held.run, outcome, runMillis);
 		if (outcome != RunOutcome.DONE) {
 			notice(NoticeKind.RUN_NOT_DONE, held.run.toString(), outcome + " after " + runMillis + " ms, asked for by "
-					+ held.entry + ", start " + held.startResult() + ", free " + free());
+					+ held.entry() + ", start " + held.startResult() + ", free " + free());
 		}
 		this.sessions.changed();
-		this.sessions.of(held.entry).ifPresent((session) -> inform(held.entry, session));
+		this.sessions.of(held.entry()).ifPresent((session) -> inform(held.entry(), session));
 	}
 
 	private void raiseToken() {
--- a/core/src/main/java/io/coriandermux/core/run/Amounts.java
+++ b/core/src/main/java/io/coriandermux/core/run/Amounts.java
@@ -10,6 +10,8 @@
  */
 public record Amounts(long millicores, long memoryMb, long accelerators) {
 
+	private static final int HASH_FACTOR = 31;
+
 	/** Nothing of any resource. */
 	public static final Amounts NONE = new Amounts(0, 0, 0);
 
@@ -43,4 +45,21 @@
 				this.accelerators - other.accelerators);
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof Amounts that && this.millicores == that.millicores && this.memoryMb == that.memoryMb
+				&& this.accelerators == that.accelerators;
+	}
+
+	@Override
+	public int hashCode() {
+		return HASH_FACTOR * (HASH_FACTOR * Long.hashCode(this.millicores) + Long.hashCode(this.memoryMb))
+				+ Long.hashCode(this.accelerators);
+	}
+
+	@Override
+	public String toString() {
+		return this.millicores + " millicores, " + this.memoryMb + " MB, " + this.accelerators + " accelerators";
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/run/BatchId.java
+++ b/core/src/main/java/io/coriandermux/core/run/BatchId.java
@@ -29,4 +29,14 @@
 		return this.value;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof BatchId that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/run/RunId.java
+++ b/core/src/main/java/io/coriandermux/core/run/RunId.java
@@ -11,9 +11,23 @@
  */
 public record RunId(BatchId batch, int phase, int index, int attempt) {
 
+	private static final int HASH_FACTOR = 31;
+
 	@Override
 	public String toString() {
 		return this.batch + "." + this.phase + "." + this.index + "#" + this.attempt;
 	}
 
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof RunId that && this.phase == that.phase && this.index == that.index
+				&& this.attempt == that.attempt && this.batch.equals(that.batch);
+	}
+
+	@Override
+	public int hashCode() {
+		return HASH_FACTOR * (HASH_FACTOR * (HASH_FACTOR * this.batch.hashCode() + this.phase) + this.index)
+				+ this.attempt;
+	}
+
 }
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseBed.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseBed.java
@@ -38,6 +38,8 @@
 
 	static final Amounts NEEDS = new Amounts(4_000, 100, 0);
 
+	static final EntryId SECOND_ENTRY = new EntryId("entry-2");
+
 	final List<RunId> starts = new ArrayList<>();
 
 	final List<RunId> stops = new ArrayList<>();
@@ -48,8 +50,10 @@
 
 	final List<Message> messages = new ArrayList<>();
 
+	final List<Message> toSecondEntry = new ArrayList<>();
+
 	final LeaseNode node = new LeaseNode(LeaseSettings.of(1000), 7, this,
-			(entry, message) -> this.messages.add(message), (notice) -> {
+			(entry, message) -> (entry.equals(ENTRY) ? this.messages : this.toSecondEntry).add(message), (notice) -> {
 			});
 
 	long sequence;
@@ -106,6 +110,11 @@
 		this.node.message(ENTRY, INCARNATION, new StartRun(run, "spec", NEEDS, this.orders), now());
 	}
 
+	void askFromSecondEntry(RunId run) {
+		this.node.entryUp(SECOND_ENTRY, INCARNATION, now());
+		this.node.message(SECOND_ENTRY, INCARNATION, new StartRun(run, "spec", NEEDS, 1), now());
+	}
+
 	void askStop(RunId run) {
 		this.node.message(ENTRY, INCARNATION, new StopRun(run), now());
 	}
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseNodeTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseNodeTests.java
@@ -6,6 +6,7 @@
 
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.message.HeldRuns;
+import io.coriandermux.core.message.RunEnded;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.core.run.RunOutcome;
 import net.jqwik.api.Example;
@@ -101,6 +102,17 @@
 		assertThat(bed.stops).containsExactly(RUN);
 	}
 
+	@Example
+	void tellsTheEntryThatAsksForARunAgainHowItEnds() {
+		LeaseBed bed = LeaseBed.settled();
+		bed.running(RUN);
+		bed.askFromSecondEntry(RUN);
+		bed.answerLook(List.of(), List.of(new EndedRun(1, RUN, RunOutcome.DONE)));
+		assertThat(bed.starts).containsExactly(RUN);
+		assertThat(bed.toSecondEntry)
+			.anyMatch((message) -> message instanceof RunEnded ended && ended.run().equals(RUN));
+	}
+
 	@Example
 	void stopsTheRunsOfAnEntryThatDoesNotConfirmItsSession() {
 		LeaseBed bed = LeaseBed.settled();
--- a/wire/src/main/java/io/coriandermux/wire/PeerIdentity.java
+++ b/wire/src/main/java/io/coriandermux/wire/PeerIdentity.java
@@ -10,4 +10,17 @@
  */
 public record PeerIdentity(PeerName name, Incarnation incarnation) {
 
+	private static final int HASH_FACTOR = 31;
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof PeerIdentity that && this.name.equals(that.name)
+				&& this.incarnation.equals(that.incarnation);
+	}
+
+	@Override
+	public int hashCode() {
+		return HASH_FACTOR * this.name.hashCode() + this.incarnation.hashCode();
+	}
+
 }
