Start no task again while its guard still holds the run

The entry was paused for 1.2 s. Waking, it answered the pings that waited, which prolonged its session at guard-1 by 0.9 s, placed the task there, and 2 ms later found guard-1 silent for 1.2 s and lost. The rule "the runs of a lost guard have ended 500 ms later" counts on silence of the entry's own confirmations, which did not hold. 16 ms later the link was up again, and guard-1 went on with the run, but the entry still started the task elsewhere after 500 ms.

Change: the runs of a lost guard count as ended 1.7 s after the last ping that the entry has answered, if that is later. When the same incarnation of the guard is linked again, its runs are not counted as ended at all: the guard answers for each.

Ruled out: the guard (its session was confirmed) and the late delivery of the order; the order arrived on the old link before its replacement.

Tests, failing before: DispatchNodeTests.startsNoTaskElsewhereWhileItsGuardIs- LinkedAgain, waitsForTheEndOfASessionThatItHasConfirmedJustBeforeItLostTheGuard.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
@@ -80,6 +80,10 @@
 		this.settledNanos = nanos;
 	}
 
+	void linkedAgain() {
+		this.settledNanos = 0;
+	}
+
 	RunId place(GuardId at, long nowNanos) {
 		this.state = State.PLACED;
 		this.attempt++;
--- a/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
@@ -305,8 +305,14 @@
 	 * @param incarnation its incarnation
 	 */
 	public void guardUp(GuardId guard, Incarnation incarnation) {
+		boolean same = this.endpoints.of(guard).filter((known) -> known.incarnation().equals(incarnation)).isPresent();
 		this.endpoints.up(guard, incarnation);
-		List<RunId> held = this.placer.runningAt(guard).stream().map(BatchTask::run).toList();
+		List<BatchTask> running = this.placer.runningAt(guard);
+		if (same) {
+			// The guard answers for each of these runs, and some may go on.
+			running.forEach(BatchTask::linkedAgain);
+		}
+		List<RunId> held = running.stream().map(BatchTask::run).toList();
 		this.guards.send(guard, new HeldRuns(held));
 	}
 
@@ -323,12 +329,12 @@
 			return;
 		}
 		endpoint.get().linked(false);
-		long settled = now.nanos() + this.settings.settleMillis() * NANOS_PER_MILLI;
+		long settled = endpoint.get().settledNanos(this.settings, now.nanos());
 		List<BatchTask> unknown = this.placer.runningAt(guard);
 		unknown.forEach((task) -> task.unknownUntil(settled));
 		if (!unknown.isEmpty()) {
 			notice(NoticeKind.RUNS_UNKNOWN, guard.value(),
-					unknown.size() + " runs, certainly ended in " + this.settings.settleMillis() + " ms");
+					unknown.size() + " runs, certainly ended in " + (settled - now.nanos()) / NANOS_PER_MILLI + " ms");
 		}
 	}
 
@@ -346,6 +352,7 @@
 			return;
 		}
 		if (message instanceof SessionPing ping) {
+			endpoint.get().confirmed(now.nanos());
 			this.guards.send(guard, new SessionPong(ping.clockNanos()));
 		}
 		else if (message instanceof EndpointChanged changed) {
--- a/core/src/main/java/io/coriandermux/core/dispatch/DispatchSettings.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/DispatchSettings.java
@@ -3,6 +3,7 @@
 /**
  * Times of the entry's side.
  *
+ * @param silenceMillis silence after which a guard counts as lost, in milliseconds
  * @param settleMillis time after the loss of a guard at which its runs have certainly
  * ended, in milliseconds
  * @param overheadMillis time that a run takes besides its work, in milliseconds
@@ -15,8 +16,11 @@
  * @param replyMarginMillis time before the end of a caller's wait at which the batch is
  * given up, in milliseconds
  */
-public record DispatchSettings(long settleMillis, long overheadMillis, long warmUpMillis, long leaveMillis,
-		long leastRunMillis, long replyMarginMillis) {
+public record DispatchSettings(long silenceMillis, long settleMillis, long overheadMillis, long warmUpMillis,
+		long leaveMillis, long leastRunMillis, long replyMarginMillis) {
+
+	/** A link is replaced after 700 ms, and a new one has 500 ms to answer. */
+	private static final long SILENCE_MILLIS = 1_200;
 
 	/**
 	 * A guard is lost after 1.2 s of silence. If it lives, it has stopped the runs when
@@ -49,8 +53,8 @@
 	 * @return the settings
 	 */
 	public static DispatchSettings usual() {
-		return new DispatchSettings(SETTLE_MILLIS, OVERHEAD_MILLIS, WARM_UP_MILLIS, LEAVE_MILLIS, LEAST_RUN_MILLIS,
-				REPLY_MARGIN_MILLIS);
+		return new DispatchSettings(SILENCE_MILLIS, SETTLE_MILLIS, OVERHEAD_MILLIS, WARM_UP_MILLIS, LEAVE_MILLIS,
+				LEAST_RUN_MILLIS, REPLY_MARGIN_MILLIS);
 	}
 
 }
--- a/core/src/main/java/io/coriandermux/core/dispatch/PooledEndpoint.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/PooledEndpoint.java
@@ -16,6 +16,8 @@
  */
 final class PooledEndpoint {
 
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
 	private final GuardId guard;
 
 	private final Incarnation incarnation;
@@ -34,6 +36,10 @@
 
 	private boolean linked = true;
 
+	private boolean confirmed;
+
+	private long confirmedNanos;
+
 	private long avoidUntilNanos;
 
 	private long loadedNanos;
@@ -94,6 +100,28 @@
 		return this.orders;
 	}
 
+	/**
+	 * Records that a ping of the guard was answered, which prolongs the session.
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void confirmed(long nowNanos) {
+		this.confirmed = true;
+		this.confirmedNanos = nowNanos;
+	}
+
+	/**
+	 * Returns when the guard has certainly stopped the runs of a session that is not
+	 * confirmed any more. An entry that was paused finds a guard lost just after it has
+	 * answered the pings that waited, so the loss alone does not tell it.
+	 * @param settings the times
+	 * @param nowNanos the current time on the monotonic clock, when the guard is lost
+	 * @return the time on the monotonic clock
+	 */
+	long settledNanos(DispatchSettings settings, long nowNanos) {
+		long silent = this.confirmed ? this.confirmedNanos + settings.silenceMillis() * NANOS_PER_MILLI : nowNanos;
+		return Math.max(silent, nowNanos) + settings.settleMillis() * NANOS_PER_MILLI;
+	}
+
 	void linked(boolean value) {
 		this.linked = value;
 	}
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatchNodeTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatchNodeTests.java
@@ -6,6 +6,7 @@
 
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.message.HeldRuns;
+import io.coriandermux.core.message.SessionPing;
 import io.coriandermux.core.run.Amounts;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.RunId;
@@ -131,6 +132,30 @@
 		assertThat(bed.starts("g2")).hasSize(1);
 	}
 
+	@Example
+	void startsNoTaskElsewhereWhileItsGuardIsLinkedAgain() {
+		DispatchBed bed = DispatchBed.with("g1");
+		bed.submit("b1", 1);
+		bed.node.guardLost(new GuardId("g1"), DispatchBed.INCARNATION, bed.now());
+		bed.up("g1", DispatchBed.CAPACITY, Set.of());
+		bed.up("g2", DispatchBed.CAPACITY, Set.of());
+		bed.advance(700);
+		assertThat(bed.starts()).hasSize(1);
+	}
+
+	@Example
+	void waitsForTheEndOfASessionThatItHasConfirmedJustBeforeItLostTheGuard() {
+		DispatchBed bed = DispatchBed.with("g1");
+		bed.node.message(new GuardId("g1"), DispatchBed.INCARNATION, new SessionPing(1), bed.now());
+		bed.submit("b1", 1);
+		bed.node.guardLost(new GuardId("g1"), DispatchBed.INCARNATION, bed.now());
+		bed.up("g2", DispatchBed.CAPACITY, Set.of());
+		bed.advance(1_690);
+		assertThat(bed.starts("g2")).isEmpty();
+		bed.advance(20);
+		assertThat(bed.starts("g2")).hasSize(1);
+	}
+
 	@Example
 	void startsATaskAgainAtOnceWhenItsGuardConfirmsTheEnd() {
 		DispatchBed bed = DispatchBed.with("g1");
