--- a/daemon/src/main/java/io/coriandermux/daemon/run/ExitCode.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/ExitCode.java
@@ -3,7 +3,7 @@
 /**
  * Exit codes of the processes; docs/settings.md lists them.
  */
-enum ExitCode {
+public enum ExitCode {
 
 	/** The process was shut down and nothing in progress was cut. */
 	OK(0),
@@ -29,7 +29,11 @@
 		this.number = number;
 	}
 
-	int number() {
+	/**
+	 * Returns the number that the process ends with.
+	 * @return the number
+	 */
+	public int number() {
 		return this.number;
 	}
 
