Split the fleet of a soak run from its faults and checks

Fleet now holds processes, endpoints, store and proxies. Catch blocks that did nothing are answers of small functions; the count of ended directions of a proxied connection is atomic.

--- a/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A loopback proxy that delays, silences, or resets the connections through it.
@@ -122,8 +123,7 @@
 			Thread.currentThread().interrupt();
 		}
 		finally {
-			pair.ended++;
-			if (pair.ended > 1) {
+			if (pair.ended.incrementAndGet() == 2) {
 				this.open.remove(pair);
 				pair.close();
 			}
@@ -150,7 +150,7 @@
 
 		private volatile Mode dead;
 
-		private volatile int ended;
+		private final AtomicInteger ended = new AtomicInteger();
 
 		Pair(Socket near, Socket far) {
 			this.near = near;
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -1,15 +1,13 @@
 package io.coriandermux.soak;
 
 import java.io.IOException;
-import java.net.ServerSocket;
-import java.net.URI;
+import java.net.ConnectException;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -28,14 +26,10 @@
  */
 final class SoakRun implements AutoCloseable {
 
-	private static final String SERVICE = "orders";
-
 	private static final String QUEUE = "/queue/";
 
 	private static final String EXTRA = "/extra/";
 
-	private static final int CORES = 8_000;
-
 	/** Least time after which a caller hands a job in again. */
 	private static final long RESEND_MILLIS = 1_300;
 
@@ -53,27 +47,13 @@
 	/** Service has to be back this long after the last fault. */
 	private static final long RECOVER_MILLIS = 6_000;
 
-	private static final long GRACE_MILLIS = 6_000;
-
 	private final Random random;
 
 	private final Path folder;
 
 	private final Promises promises = new Promises();
 
-	private final StoreStandIn store;
-
-	private final Map<Integer, Integer> proxied = new LinkedHashMap<>();
-
-	private final List<FaultProxy> links = new ArrayList<>();
-
-	private final List<SystemProcess> entries = new ArrayList<>();
-
-	private final List<Integer> callerPorts = new ArrayList<>();
-
-	private final List<SystemProcess> guards = new ArrayList<>();
-
-	private final List<RunnerStandIn> endpoints = new ArrayList<>();
+	private final Fleet fleet;
 
 	private final ScheduledExecutorService faults = Executors.newScheduledThreadPool(8);
 
@@ -104,84 +84,16 @@
 		this.seed = seed;
 		this.random = new Random(seed);
 		this.folder = folder;
-		this.store = new StoreStandIn(this::throughProxies);
+		this.fleet = new Fleet(this.random, folder, this.promises, entryCount, guardCount);
 		configure();
-		for (int number = 1; number <= entryCount; number++) {
-			addEntry("entry-" + number);
-		}
-		for (int number = 1; number <= guardCount; number++) {
-			addGuard("guard-" + number);
-		}
-	}
-
-	private String throughProxies(String announcement) {
-		String shown = announcement;
-		for (Map.Entry<Integer, Integer> link : this.proxied.entrySet()) {
-			shown = shown.replace("\"port\":" + link.getKey() + ",", "\"port\":" + link.getValue() + ",");
-		}
-		return shown;
-	}
-
-	private FaultProxy proxy(int target) throws IOException {
-		FaultProxy proxy = new FaultProxy(target);
-		this.links.add(proxy);
-		return proxy;
-	}
-
-	private String settings(String name, int peerPort, String rest) throws IOException {
-		this.proxied.put(peerPort, proxy(peerPort).port());
-		return "{\"id\":\"" + name + "\",\"zone\":\"z\",\"rack\":\"r\",\"address\":\"127.0.0.1\",\"peerPort\":"
-				+ peerPort + ",\"operatorsPort\":" + freePort() + ",\"stores\":[\"http://127.0.0.1:"
-				+ proxy(this.store.port()).port() + "\"],\"secret\":\"the secret of a soak run\"," + rest
-				+ ",\"limits\":{\"connections\":512,\"drainMillis\":" + GRACE_MILLIS + "}}";
-	}
-
-	private void addEntry(String name) throws IOException {
-		int callersPort = freePort();
-		String text = settings(name, freePort(), "\"callers\":\"127.0.0.1:" + callersPort + "\",\"ready\":\"127.0.0.1:"
-				+ freePort() + "\",\"remoteFactor\":1.5");
-		this.entries.add(process(name, List.of("entry"), text));
-		this.callerPorts.add(callersPort);
-	}
-
-	private void addGuard(String name) throws IOException {
-		int endpointPort = freePort();
-		int reports = freePort();
-		String text = settings(name, freePort(),
-				"\"endpoint\":\"http://127.0.0.1:" + proxy(endpointPort).port() + "\",\"maxLeaseMillis\":1000");
-		this.guards.add(process(name, List.of("guard", "127.0.0.1:" + reports), text));
-		this.endpoints.add(new RunnerStandIn(name.replace("guard", "endpoint"), SERVICE, CORES, endpointPort,
-				URI.create("http://127.0.0.1:" + reports), this.promises, this.random.nextLong()));
-	}
-
-	private SystemProcess process(String name, List<String> arguments, String settings) throws IOException {
-		Files.createDirectories(this.folder);
-		Path file = this.folder.resolve(name + ".json");
-		Files.writeString(file, settings);
-		return new SystemProcess(name, arguments, file, this.folder.resolve(name + ".log"));
-	}
-
-	// Ports below the range from which the system takes ports for outgoing connections,
-	// so
-	// that none takes the port of a process that is about to start again.
-	private int freePort() throws IOException {
-		while (true) {
-			int port = 10_000 + this.random.nextInt(20_000);
-			try (ServerSocket probe = new ServerSocket(port)) {
-				return probe.getLocalPort();
-			}
-			catch (IOException ex) {
-				// Another program has this port; the next one is tried.
-				this.promises.millis();
-			}
-		}
 	}
 
 	private synchronized void configure() {
 		this.version++;
 		this.extra = this.version % 2 == 0;
-		this.store.operatorWrites(JobsClient.CONFIG_KEY,
-				JobsClient.configuration(this.version, SERVICE, this.extra ? List.of(QUEUE, EXTRA) : List.of(QUEUE)));
+		this.fleet.store()
+			.operatorWrites(JobsClient.CONFIG_KEY, JobsClient.configuration(this.version, Fleet.SERVICE,
+					this.extra ? List.of(QUEUE, EXTRA) : List.of(QUEUE)));
 		this.configuredAt = this.promises.millis();
 	}
 
@@ -194,7 +106,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	List<String> play(long faultMillis, int clients) throws IOException, InterruptedException {
-		for (SystemProcess process : processes()) {
+		for (SystemProcess process : this.fleet.processes()) {
 			process.start();
 		}
 		if (!isServed(60_000)) {
@@ -237,12 +149,6 @@
 				+ this.promises.starts() + " starts, " + this.promises.broken().size() + " broken promises";
 	}
 
-	private List<SystemProcess> processes() {
-		List<SystemProcess> all = new ArrayList<>(this.entries);
-		all.addAll(this.guards);
-		return all;
-	}
-
 	private List<Fault> plan(long faultMillis) {
 		List<Fault> plan = new ArrayList<>();
 		Fault.Kind[] kinds = Fault.Kind.values();
@@ -258,8 +164,8 @@
 			disturb(fault.forMillis() + CALM_MILLIS);
 		}
 		try {
-			SystemProcess entry = this.entries.get(fault.target() % this.entries.size());
-			SystemProcess guard = this.guards.get(fault.target() % this.guards.size());
+			SystemProcess entry = this.fleet.entries().get(fault.target() % this.fleet.entries().size());
+			SystemProcess guard = this.fleet.guards().get(fault.target() % this.fleet.guards().size());
 			switch (fault.kind()) {
 				case KILL_ENTRY -> kill(entry, fault);
 				case KILL_GUARD -> kill(guard, fault);
@@ -267,12 +173,13 @@
 				case PAUSE_GUARD -> pause(guard, fault);
 				case STOP_ENTRY -> stop(entry);
 				case STOP_GUARD -> stop(guard);
-				case HANG_UP -> processes().get(fault.target() % processes().size()).hangUp();
+				case HANG_UP -> this.fleet.processes().get(fault.target() % this.fleet.processes().size()).hangUp();
 				case CONFIGURE -> configure();
-				case RESET_LINK -> this.links.get(fault.target() % this.links.size()).reset();
+				case RESET_LINK -> this.fleet.links().get(fault.target() % this.fleet.links().size()).reset();
 				case HARM_LINK -> harm(fault);
 				case STORE -> harmStore(fault);
-				default -> harmEndpoint(this.endpoints.get(fault.target() % this.endpoints.size()), fault);
+				default ->
+					harmEndpoint(this.fleet.endpoints().get(fault.target() % this.fleet.endpoints().size()), fault);
 			}
 		}
 		catch (IOException ex) {
@@ -289,7 +196,7 @@
 
 	private void kill(SystemProcess process, Fault fault) throws IOException, InterruptedException {
 		process.kill();
-		process.awaitEnd(GRACE_MILLIS);
+		process.awaitEnd(Fleet.GRACE_MILLIS);
 		sleep(fault.forMillis() / 2);
 		process.start();
 	}
@@ -302,19 +209,19 @@
 
 	private void stop(SystemProcess process) throws IOException, InterruptedException {
 		process.terminate();
-		if (!process.awaitEnd(GRACE_MILLIS)) {
+		if (!process.awaitEnd(Fleet.GRACE_MILLIS)) {
 			if (isCalm()) {
-				this.promises.breaks("STOP", process.name() + " did not end within " + GRACE_MILLIS + " ms");
+				this.promises.breaks("STOP", process.name() + " did not end within " + Fleet.GRACE_MILLIS + " ms");
 			}
 			process.kill();
-			process.awaitEnd(GRACE_MILLIS);
+			process.awaitEnd(Fleet.GRACE_MILLIS);
 		}
 		process.start();
 	}
 
 	private void harm(Fault fault) throws InterruptedException {
 		FaultProxy.Mode[] modes = FaultProxy.Mode.values();
-		FaultProxy link = this.links.get(fault.target() % this.links.size());
+		FaultProxy link = this.fleet.links().get(fault.target() % this.fleet.links().size());
 		link.mode(modes[1 + fault.target() % (modes.length - 1)]);
 		sleep(fault.forMillis());
 		link.mode(FaultProxy.Mode.PASS);
@@ -322,9 +229,9 @@
 
 	private void harmStore(Fault fault) throws InterruptedException {
 		StoreStandIn.Fault[] kinds = StoreStandIn.Fault.values();
-		this.store.fault(kinds[1 + fault.target() % (kinds.length - 1)]);
+		this.fleet.store().fault(kinds[1 + fault.target() % (kinds.length - 1)]);
 		sleep(fault.forMillis());
-		this.store.fault(StoreStandIn.Fault.NONE);
+		this.fleet.store().fault(StoreStandIn.Fault.NONE);
 	}
 
 	private void harmEndpoint(RunnerStandIn endpoint, Fault fault) throws InterruptedException {
@@ -355,26 +262,29 @@
 
 	// Each entry that serves without disturbance knows the newest configuration.
 	private void watch() throws InterruptedException {
-		for (int number = 0; number < this.entries.size(); number++) {
+		for (int number = 0; number < this.fleet.entries().size(); number++) {
 			boolean expected = this.extra;
 			long asked = this.promises.millis();
 			boolean due = isCalm() && asked - this.configuredAt > CONFIG_MILLIS;
-			try {
-				int status = this.client.count(this.callerPorts.get(number), EXTRA);
-				boolean stable = expected == this.extra && asked - this.configuredAt > CONFIG_MILLIS;
-				if (due && stable && isCalm() && status == (expected ? 404 : 200)) {
-					this.promises.breaks("CONFIG", this.entries.get(number).name() + " answers with " + status + " "
-							+ (asked - this.configuredAt) + " ms after version " + this.version);
-				}
-			}
-			catch (IOException ex) {
-				// Planned work takes single entries away; that all are gone shows in
-				// RECOVER.
-				sleep(1);
+			OptionalInt status = countStatus(this.fleet.callerPort(number));
+			boolean stable = expected == this.extra && asked - this.configuredAt > CONFIG_MILLIS;
+			if (due && stable && isCalm() && status.orElse(0) == (expected ? 404 : 200)) {
+				this.promises.breaks("CONFIG", this.fleet.entries().get(number).name() + " answers with "
+						+ status.getAsInt() + " " + (asked - this.configuredAt) + " ms after version " + this.version);
 			}
 		}
 	}
 
+	private OptionalInt countStatus(int port) throws InterruptedException {
+		try {
+			return OptionalInt.of(this.client.count(port, EXTRA));
+		}
+		catch (IOException ex) {
+			// Planned work takes single entries away; that all are gone shows in RECOVER.
+			return OptionalInt.empty();
+		}
+	}
+
 	private boolean isServed(long millis) throws InterruptedException {
 		long end = this.promises.millis() + millis;
 		while (this.promises.millis() < end) {
@@ -410,12 +320,12 @@
 		boolean completed = false;
 		long end = this.promises.millis() + WAIT_MILLIS;
 		while (!completed && this.promises.millis() < end) {
-			int number = own.nextInt(this.entries.size());
+			int number = own.nextInt(this.fleet.entries().size());
 			long sent = this.promises.millis();
 			boolean calm = isCalm();
-			boolean alive = this.entries.get(number).isAlive();
+			boolean alive = this.fleet.entries().get(number).isAlive();
 			try {
-				HttpResponse<String> reply = this.client.submit(this.callerPorts.get(number), QUEUE, id, tasks,
+				HttpResponse<String> reply = this.client.submit(this.fleet.callerPort(number), QUEUE, id, tasks,
 						runMillis, Math.max(50, end - sent));
 				completed = reply.statusCode() == 200 && reply.body().contains("completed");
 				boolean notRun = reply.statusCode() == 429 || reply.statusCode() == 503;
@@ -429,10 +339,10 @@
 				}
 			}
 			catch (IOException ex) {
-				refused &= ex instanceof java.net.ConnectException;
+				refused &= ex instanceof ConnectException;
 				boolean early = this.promises.millis() + 300 < end;
-				if (calm && alive && isCalm() && early && !(ex instanceof java.net.ConnectException)) {
-					this.promises.breaks("LOST", id + " at " + this.entries.get(number).name() + " after "
+				if (calm && alive && isCalm() && early && !(ex instanceof ConnectException)) {
+					this.promises.breaks("LOST", id + " at " + this.fleet.entries().get(number).name() + " after "
 							+ (this.promises.millis() - sent) + " ms: " + ex);
 				}
 				sleep(RESEND_MILLIS);
@@ -451,12 +361,7 @@
 		this.ending = true;
 		this.faults.shutdownNow();
 		this.callers.shutdownNow();
-		processes().forEach(SystemProcess::kill);
-		this.endpoints.forEach(RunnerStandIn::close);
-		for (FaultProxy link : this.links) {
-			link.close();
-		}
-		this.store.close();
+		this.fleet.close();
 	}
 
 }
