--- a/soak/src/test/java/io/coriandermux/soak/Promises.java
+++ b/soak/src/test/java/io/coriandermux/soak/Promises.java
@@ -8,19 +8,24 @@
 import java.util.Set;
 
 import io.coriandermux.platform.standin.RunObserver;
+import io.coriandermux.wire.TimeSource;
 
 /**
  * Checks the promises from what callers and endpoints see.
  */
 final class Promises implements RunObserver {
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	/** After the answer of a job none of its tasks may start any more. */
 	private static final long STOPPED_MILLIS = 3_000;
 
 	/** Starts at a leaving endpoint are allowed this long after it was heard. */
 	private static final long LEAVING_MILLIS = 2_000;
 
-	private final long startedNanos = System.nanoTime();
+	private final TimeSource time;
+
+	private final long startedNanos;
 
 	private final Map<String, JobSeen> jobs = new LinkedHashMap<>();
 
@@ -30,6 +35,11 @@
 
 	private long starts;
 
+	Promises(TimeSource time) {
+		this.time = time;
+		this.startedNanos = time.now().nanos();
+	}
+
 	synchronized void handedIn(String id, int tasks, String spec) {
 		this.jobs.computeIfAbsent(id, (key) -> new JobSeen(tasks, spec));
 	}
@@ -66,7 +76,7 @@
 	}
 
 	long millis() {
-		return (System.nanoTime() - this.startedNanos) / 1_000_000;
+		return (this.time.now().nanos() - this.startedNanos) / NANOS_PER_MILLI;
 	}
 
 	@Override
@@ -89,7 +99,7 @@
 		if (job.refused) {
 			breaks("REFUSED", task + " starts at " + endpoint + ", but the job was answered as not run");
 		}
-		if (job.closedMillis > 0 && millis() - job.closedMillis > STOPPED_MILLIS) {
+		if (job.closedMillis >= 0 && millis() - job.closedMillis > STOPPED_MILLIS) {
 			breaks("UNASKED", task + " starts at " + endpoint + " " + (millis() - job.closedMillis)
 					+ " ms after its caller was gone");
 		}
@@ -119,7 +129,7 @@
 
 		private boolean refused;
 
-		private long closedMillis;
+		private long closedMillis = -1;
 
 		JobSeen(int tasks, String spec) {
 			this.tasks = tasks;
--- a/soak/src/test/java/io/coriandermux/soak/PromisesTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/PromisesTests.java
@@ -1,5 +1,6 @@
 package io.coriandermux.soak;
 
+import io.coriandermux.core.id.Moment;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -11,7 +12,9 @@
 
 	private static final String TASK = "job.0.0.0";
 
-	private final Promises promises = new Promises();
+	private long millis = 1;
+
+	private final Promises promises = new Promises(() -> new Moment(this.millis * 1_000_000, this.millis));
 
 	PromisesTests() {
 		this.promises.handedIn("job", 1, "50");
@@ -55,6 +58,14 @@
 		assertThat(this.promises.broken()).singleElement().asString().startsWith("REFUSED");
 	}
 
+	@Example
+	void seesAStartLongAfterTheCallerWasGone() {
+		this.promises.closed("job", false, false);
+		this.millis += 3_100;
+		this.promises.started("a", TASK, 1, "50", -1);
+		assertThat(this.promises.broken()).singleElement().asString().startsWith("UNASKED");
+	}
+
 	@Example
 	void seesAnAnswerBeforeAllTasksAreDone() {
 		this.promises.started("a", TASK, 1, "50", -1);
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
@@ -19,6 +20,7 @@
 import io.coriandermux.platform.standin.JobsClient;
 import io.coriandermux.platform.standin.RunnerStandIn;
 import io.coriandermux.platform.standin.StoreStandIn;
+import io.coriandermux.wire.SystemTime;
 
 /**
  * One run: starts the processes, injects the faults that a seed draws, and checks the
@@ -51,7 +53,7 @@
 
 	private final Path folder;
 
-	private final Promises promises = new Promises();
+	private final Promises promises = new Promises(new SystemTime(Clock.systemUTC()));
 
 	private final Fleet fleet;
 
