Tell each entry that has asked for a run how it ends

Cause: found when reading again. The guard passed a run on to the entry that asked last and told only that one of its end. An entry that is alive but whose caller has left keeps its record of the batch until it hears of the end, and would hold it, and a batch handed in again under that id, for good.

Change: the guard also tells the entries that asked before. Test: LeaseNodeTests.tellsTheEntryThatAsksForARunAgainHowItEnds, extended, failing before.

--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -1,5 +1,8 @@
 package io.coriandermux.core.lease;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
+
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.run.Amounts;
 import io.coriandermux.core.run.RunId;
@@ -33,6 +36,8 @@
 
 	final long askedNanos;
 
+	private final Set<EntryId> formerEntries = new LinkedHashSet<>();
+
 	private EntryId entry;
 
 	private State state = State.ASKED;
@@ -58,11 +63,25 @@
 		this.progressNanos = nowNanos;
 	}
 
+	/**
+	 * Returns the entry that has asked for the run last.
+	 * @return the entry
+	 */
 	EntryId entry() {
 		return this.entry;
 	}
 
-	void entry(EntryId next) {
+	/**
+	 * Returns the entries that have asked for the run before. They hear of its end too.
+	 * @return the entries
+	 */
+	Set<EntryId> formerEntries() {
+		return this.formerEntries;
+	}
+
+	void passTo(EntryId next) {
+		this.formerEntries.add(this.entry);
+		this.formerEntries.remove(next);
 		this.entry = next;
 	}
 
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
@@ -353,10 +353,8 @@
 		session.informed(false);
 		Optional<HeldRun> held = this.runs.of(start.run());
 		if (held.isPresent()) {
-			// The caller has handed its batch in again at another entry, which now waits
-			// for
-			// the end of this run.
-			held.get().entry(entry);
+			// A caller has handed its batch in again at another entry.
+			held.get().passTo(entry);
 			return;
 		}
 		if (this.reports.isEnded(start.run())) {
@@ -492,6 +490,7 @@
 	private void ended(HeldRun held, RunOutcome outcome) {
 		long runMillis = (this.nowNanos - held.askedNanos) / NANOS_PER_MILLI;
 		this.reports.ended(held.entry(), held.run, outcome, runMillis);
+		held.formerEntries().forEach((former) -> this.reports.answer(former, held.run, true));
 		if (outcome != RunOutcome.DONE) {
 			notice(NoticeKind.RUN_NOT_DONE, held.run.toString(), outcome + " after " + runMillis + " ms, asked for by "
 					+ held.entry() + ", start " + held.startResult() + ", free " + free());
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseNodeTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseNodeTests.java
@@ -111,6 +111,8 @@
 		assertThat(bed.starts).containsExactly(RUN);
 		assertThat(bed.toSecondEntry)
 			.anyMatch((message) -> message instanceof RunEnded ended && ended.run().equals(RUN));
+		// The first entry keeps its record of the batch until it hears of the end.
+		assertThat(bed.outcomes(RUN)).containsExactly(RunOutcome.DONE);
 	}
 
 	@Example
