Bound the loads that a guard sends to entries that did not ask

Cause: each guard told each entry of each start and end, 50 times a second, so the messages of the system grew with the product of entries and guards: at 15 entries and 80 guards about 60,000 a second beside some 10,000 for the runs. A guard now sends 100 a second over all entries, and those that are due with a ping leave with it. Ruled out: a fixed longer interval, which only moves the size at which it happens.

--- a/core/src/main/java/io/coriandermux/core/lease/EntrySessions.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EntrySessions.java
@@ -53,11 +53,18 @@
 		this.sessions.remove(entry);
 	}
 
-	void pingIfDue(long nowNanos) {
-		if (nowNanos - this.pingedNanos >= this.settings.pingMillis() * NANOS_PER_MILLI) {
-			this.pingedNanos = nowNanos;
-			ping(nowNanos);
+	/**
+	 * Asks each entry to confirm its session if the interval of the pings has passed.
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return whether the entries were asked
+	 */
+	boolean pingIfDue(long nowNanos) {
+		if (nowNanos - this.pingedNanos < this.settings.pingMillis() * NANOS_PER_MILLI) {
+			return false;
 		}
+		this.pingedNanos = nowNanos;
+		ping(nowNanos);
+		return true;
 	}
 
 	private void ping(long nowNanos) {
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
@@ -33,8 +33,18 @@
 	/** A fencing token that the endpoint refuses is raised by a minute. */
 	private static final long TOKEN_STEP = 60_000;
 
-	/** Only entries that asked for it hear of each change; others after this time. */
-	private static final long INFORM_NANOS = 10 * NANOS_PER_MILLI;
+	/** Only the entry whose run started or ended hears of it at once; others later. */
+	private static final long LEAST_INFORM_NANOS = 10 * NANOS_PER_MILLI;
+
+	/**
+	 * Loads that are sent each second to entries that did not ask, over all entries.
+	 * Without this bound the loads that an entry receives grow with the number of guards,
+	 * and those of the system with the product of entries and guards: at 15 entries and
+	 * 80 guards they were more than the messages of all runs.
+	 */
+	private static final long LOADS_PER_SECOND = 100;
+
+	private static final long NANOS_PER_SECOND = 1000 * NANOS_PER_MILLI;
 
 	private final LeaseSettings settings;
 
@@ -399,7 +409,7 @@
 		this.nowNanos = now.nanos();
 		checkClocks(now);
 		checkSessions(now);
-		this.sessions.pingIfDue(now.nanos());
+		boolean pinged = this.sessions.pingIfDue(now.nanos());
 		long callNanos = this.settings.callMillis() * NANOS_PER_MILLI;
 		this.runs.repeatStops(now.nanos());
 		if (!this.runs.isEmpty() && this.clock.isLapsed(now.nanos())) {
@@ -413,11 +423,16 @@
 				&& now.nanos() - this.polls.askedNanos() >= callNanos / 2) {
 			poll(now, this.settled ? this.settings.pollMillis() : 0, true);
 		}
-		if (now.nanos() - this.informedNanos >= INFORM_NANOS) {
+		// A load that leaves with a ping costs the entry no wake-up of its own.
+		if (pinged || now.nanos() - this.informedNanos >= informNanos()) {
 			inform(false, now);
 		}
 	}
 
+	private long informNanos() {
+		return Math.max(LEAST_INFORM_NANOS, this.sessions.size() * NANOS_PER_SECOND / LOADS_PER_SECOND);
+	}
+
 	/**
 	 * Takes no new runs from now on.
 	 * @param now the current time
