Send heartbeats on idle links only, and add the messages that offer a configuration

The pings of the sessions already show that a link between entry and guard lives, so 4 of 12 control messages a second of each link carry nothing there.

--- a/core/src/main/java/io/coriandermux/core/message/Message.java
+++ b/core/src/main/java/io/coriandermux/core/message/Message.java
@@ -3,8 +3,9 @@
 /**
  * A message between two processes of the system.
  */
-public sealed interface Message permits Heartbeat, Start, Answer, Refused, CancelTask, Fence, FenceAnswer, Credit,
-		Recall, Release, Demand, Leaving, Forward, ForwardAnswer, ConfigPull, ConfigPush, HomesPull, HomesPush,
-		StartRun, StopRun, RunEnded, HeldRuns, EndpointChanged, SessionPing, SessionPong, TablesPush {
+public sealed interface Message
+		permits Heartbeat, Start, Answer, Refused, CancelTask, Fence, FenceAnswer, Credit, Recall, Release, Demand,
+		Leaving, Forward, ForwardAnswer, ConfigPull, ConfigPush, HomesPull, HomesPush, StartRun, StopRun, RunEnded,
+		HeldRuns, EndpointChanged, SessionPing, SessionPong, TablesOffer, TablesPull, TablesPush {
 
 }
--- a/core/src/main/java/io/coriandermux/core/message/TablesPush.java
+++ b/core/src/main/java/io/coriandermux/core/message/TablesPush.java
@@ -1,8 +1,7 @@
 package io.coriandermux.core.message;
 
 /**
- * Carries the newest configuration that an entry has read to another entry, so that it
- * also reaches entries that the store does not serve.
+ * Carries the configuration in force to another entry that has asked for it.
  *
  * @param version version of the configuration
  * @param document the configuration as it stands in the store
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchIntervals.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchIntervals.java
@@ -41,7 +41,7 @@
 		LinkSettings usual = LinkSettings.DEFAULTS;
 		return new LinkSettings(usual.heartbeatNanos(), TimeUnit.MILLISECONDS.toNanos(SILENT_MILLIS),
 				TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS), usual.retryNanos(), usual.maxConnections(),
-				usual.maxUnsentBytes());
+				usual.maxUnsentBytes(), true);
 	}
 
 }
--- a/daemon/src/main/java/io/coriandermux/daemon/run/ProcessContext.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/ProcessContext.java
@@ -86,7 +86,7 @@
 		PeerIdentity self = new PeerIdentity(new PeerName(role, this.settings.id()), this.incarnation);
 		LinkSettings links = new LinkSettings(intervals.heartbeatNanos(), intervals.silentNanos(),
 				intervals.answerNanos(), intervals.retryNanos(), this.settings.connections(),
-				intervals.maxUnsentBytes());
+				intervals.maxUnsentBytes(), intervals.idleOnly());
 		LinkContext context = new LinkContext(self, new SharedSecret(this.settings.secret()), links, this.time,
 				new SecureRandom(), revisions);
 		return new LinkLoop(context, new PeerAddress(this.settings.address(), this.settings.peerPort()), listener);
--- a/wire/src/main/java/io/coriandermux/wire/Connection.java
+++ b/wire/src/main/java/io/coriandermux/wire/Connection.java
@@ -42,6 +42,8 @@
 
 	private long heartbeatSentNanos;
 
+	private long sentNanos;
+
 	private long peerClockNanos;
 
 	Connection(SocketChannel channel, Handshake handshake, Optional<PeerName> expected, long nowNanos) {
@@ -96,6 +98,18 @@
 		this.heartbeatSentNanos = nowNanos;
 	}
 
+	/**
+	 * Returns when bytes were last written to the connection.
+	 * @return the time on the monotonic clock, 0 if none were
+	 */
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
+	void sent(long nowNanos) {
+		this.sentNanos = nowNanos;
+	}
+
 	long peerClockNanos() {
 		return this.peerClockNanos;
 	}
--- a/wire/src/main/java/io/coriandermux/wire/LinkLoop.java
+++ b/wire/src/main/java/io/coriandermux/wire/LinkLoop.java
@@ -203,7 +203,7 @@
 			}
 		}
 		this.ring.drain(Runnable::run, RING_SIZE);
-		this.links.flush();
+		this.links.flush(now());
 		release();
 	}
 
@@ -215,7 +215,7 @@
 			this.timersNanos = now;
 			this.links.timers(now);
 		}
-		this.links.flush();
+		this.links.flush(now);
 		this.waiting.set(true);
 		if (this.ring.isEmpty()) {
 			this.selector.select(this.links.isDeliveryPending() ? BUSY_WAIT_MILLIS : IDLE_WAIT_MILLIS);
@@ -250,7 +250,7 @@
 				read(connection);
 			}
 			if (key.isValid() && key.isWritable()) {
-				this.links.flush(connection);
+				this.links.flush(connection, now());
 			}
 		}
 		catch (IOException ex) {
--- a/wire/src/main/java/io/coriandermux/wire/LinkSettings.java
+++ b/wire/src/main/java/io/coriandermux/wire/LinkSettings.java
@@ -11,9 +11,11 @@
  * @param retryNanos least interval in nanoseconds between two attempts to connect
  * @param maxConnections most connections at the same time
  * @param maxUnsentBytes most bytes that wait for a peer that does not read
+ * @param idleOnly whether a heartbeat is sent only if nothing else was sent for the
+ * interval; such heartbeats cannot carry revisions or echoes in time
  */
 public record LinkSettings(long heartbeatNanos, long silentNanos, long answerNanos, long retryNanos, int maxConnections,
-		long maxUnsentBytes) {
+		long maxUnsentBytes, boolean idleOnly) {
 
 	private static final long HEARTBEAT_MILLIS = 500;
 
@@ -30,6 +32,6 @@
 	/** The values of the design page. */
 	public static final LinkSettings DEFAULTS = new LinkSettings(TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS),
 			TimeUnit.MILLISECONDS.toNanos(SILENT_MILLIS), TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS),
-			TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS), MAX_CONNECTIONS, MAX_UNSENT_BYTES);
+			TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS), MAX_CONNECTIONS, MAX_UNSENT_BYTES, false);
 
 }
--- a/wire/src/main/java/io/coriandermux/wire/Links.java
+++ b/wire/src/main/java/io/coriandermux/wire/Links.java
@@ -171,9 +171,9 @@
 		}
 	}
 
-	void flush() {
+	void flush(long now) {
 		for (Connection connection : new ArrayList<>(this.unflushed)) {
-			flush(connection);
+			flush(connection, now);
 		}
 		this.unflushed.clear();
 	}
@@ -187,9 +187,13 @@
 		return this.links.computeIfAbsent(name, (key) -> new PeerLink(key, now, this.settings.retryNanos()));
 	}
 
-	void flush(Connection connection) {
+	void flush(Connection connection, long now) {
 		try {
-			this.bytesSent.add(connection.flush());
+			long written = connection.flush();
+			if (written > 0) {
+				connection.sent(now);
+				this.bytesSent.add(written);
+			}
 		}
 		catch (IOException ex) {
 			closed(connection, String.valueOf(ex.getMessage()));
@@ -249,8 +253,9 @@
 	}
 
 	private void heartbeat(Connection connection, long now) {
-		if (connection.heartbeatSentNanos() != 0
-				&& now - connection.heartbeatSentNanos() < this.settings.heartbeatNanos()) {
+		long last = this.settings.idleOnly() ? Math.max(connection.heartbeatSentNanos(), connection.sentNanos())
+				: connection.heartbeatSentNanos();
+		if (connection.heartbeatSentNanos() != 0 && now - last < this.settings.heartbeatNanos()) {
 			return;
 		}
 		connection.heartbeatSent(now);
--- a/wire/src/main/java/io/coriandermux/wire/RunMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/RunMessages.java
@@ -13,6 +13,8 @@
 import io.coriandermux.core.message.SessionPong;
 import io.coriandermux.core.message.StartRun;
 import io.coriandermux.core.message.StopRun;
+import io.coriandermux.core.message.TablesOffer;
+import io.coriandermux.core.message.TablesPull;
 import io.coriandermux.core.message.TablesPush;
 import io.coriandermux.core.run.Amounts;
 import io.coriandermux.core.run.BatchId;
@@ -41,6 +43,10 @@
 
 	private static final int TABLES_PUSH = 47;
 
+	private static final int TABLES_OFFER = 48;
+
+	private static final int TABLES_PULL = 49;
+
 	private static final int RUN_FIELDS = 4;
 
 	private static final int START_FIELDS = RUN_FIELDS + 5;
@@ -71,7 +77,11 @@
 			new MessageType<>(TABLES_PUSH, TablesPush.class, 2, (out, message) -> {
 				out.number(message.version());
 				out.bytes(message.document(), WireLimits.DOCUMENT_BYTES);
-			}, (in) -> new TablesPush(in.number(), in.bytes(WireLimits.DOCUMENT_BYTES))));
+			}, (in) -> new TablesPush(in.number(), in.bytes(WireLimits.DOCUMENT_BYTES))),
+			new MessageType<>(TABLES_OFFER, TablesOffer.class, 1, (out, message) -> out.number(message.version()),
+					(in) -> new TablesOffer(in.number())),
+			new MessageType<>(TABLES_PULL, TablesPull.class, 1, (out, message) -> out.number(message.version()),
+					(in) -> new TablesPull(in.number())));
 
 	private RunMessages() {
 	}
--- a/wire/src/test/java/io/coriandermux/wire/Messages.java
+++ b/wire/src/test/java/io/coriandermux/wire/Messages.java
@@ -61,6 +61,8 @@
 import io.coriandermux.core.message.StartRefusal;
 import io.coriandermux.core.message.StartRun;
 import io.coriandermux.core.message.StopRun;
+import io.coriandermux.core.message.TablesOffer;
+import io.coriandermux.core.message.TablesPull;
 import io.coriandermux.core.message.TablesPush;
 import io.coriandermux.core.run.Amounts;
 import io.coriandermux.core.run.BatchId;
@@ -114,7 +116,8 @@
 			new RunEnded(RUN, RunOutcome.LAPSED, 5), new HeldRuns(List.of(RUN)),
 			new EndpointChanged(new EndpointLoad(new PoolName("orders"), Set.of("a"), new Amounts(6, 7, 8),
 					new Amounts(-9, 10, 11), true), 12),
-			new SessionPing(13), new SessionPong(14), new TablesPush(15, BODY));
+			new SessionPing(13), new SessionPong(14), new TablesPush(15, BODY), new TablesOffer(16),
+			new TablesPull(17));
 
 	private Messages() {
 	}
