Place waiting tasks once for all messages that waited, and spread entries over endpoints

Cause: an entry walked its waiting batches for each report of a guard. With reports that are up to 150 ms old, 15 entries would all choose the same endpoint; each entry now ranks endpoints of the same speed in an order of its own.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
@@ -126,6 +126,9 @@
 	 * @param now the current time
 	 */
 	void place(Moment now) {
+		if (this.waiting.isEmpty()) {
+			return;
+		}
 		List<Amounts> blocked = new ArrayList<>();
 		List<Batch> order = new ArrayList<>();
 		this.waiting.stream().filter((batch) -> !isLate(batch, now)).forEach(order::add);
--- a/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
@@ -11,6 +11,7 @@
 
 import io.coriandermux.core.estimate.RunTimeEstimate;
 import io.coriandermux.core.estimate.RunTimeEstimates;
+import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
@@ -78,6 +79,8 @@
 
 	private long sequence;
 
+	private boolean placeDue;
+
 	private boolean shuttingDown;
 
 	private long shutDownNanos;
@@ -88,6 +91,7 @@
 
 	/**
 	 * Creates the decisions of an entry without tables and guards.
+	 * @param self the entry
 	 * @param settings the times
 	 * @param remoteFactor run time on a rack away from the data, as a multiple of that
 	 * near it
@@ -96,11 +100,11 @@
 	 * @param notices receives notices for operators
 	 * @param now the current time
 	 */
-	public DispatchNode(DispatchSettings settings, double remoteFactor, CallerChannel callers, GuardChannel guards,
-			Consumer<Notice> notices, Moment now) {
+	public DispatchNode(EntryId self, DispatchSettings settings, double remoteFactor, CallerChannel callers,
+			GuardChannel guards, Consumer<Notice> notices, Moment now) {
 		this.settings = settings;
 		this.startedNanos = now.nanos();
-		this.endpoints = new EndpointTable(remoteFactor);
+		this.endpoints = new EndpointTable(remoteFactor, new EndpointPreference(self));
 		this.callers = callers;
 		this.guards = guards;
 		this.notices = notices;
@@ -363,6 +367,19 @@
 		}
 	}
 
+	/**
+	 * Places waiting tasks if endpoints have reported since the last time. To be called
+	 * after a number of messages was taken, because the choice of an endpoint costs more
+	 * than a message.
+	 * @param now the current time
+	 */
+	public void settle(Moment now) {
+		if (this.placeDue) {
+			this.placeDue = false;
+			this.placer.place(now);
+		}
+	}
+
 	private void changed(PooledEndpoint endpoint, EndpointChanged changed, Moment now) {
 		boolean news = endpoint.load() == null || endpoint.load().accepting() != changed.load().accepting();
 		endpoint.loaded(changed.load(), changed.order(), now.nanos());
@@ -371,7 +388,7 @@
 					"accepting " + changed.load().accepting() + ", free " + changed.load().free() + " of "
 							+ changed.load().capacity() + ", labels " + changed.load().labels());
 		}
-		this.placer.place(now);
+		this.placeDue = true;
 	}
 
 	private void ended(PooledEndpoint endpoint, RunEnded ended, Moment now) {
@@ -421,7 +438,7 @@
 			default -> retry(task, ended, now);
 		}
 		finish(batch, now);
-		this.placer.place(now);
+		this.placeDue = true;
 	}
 
 	private void learn(PooledEndpoint endpoint, Batch batch, long runNanos, Moment now) {
--- /dev/null
+++ b/core/src/main/java/io/coriandermux/core/dispatch/EndpointPreference.java
@@ -0,0 +1,53 @@
+package io.coriandermux.core.dispatch;
+
+import java.util.function.ToDoubleFunction;
+
+import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.GuardId;
+
+/**
+ * Ranks the endpoints of an entry in an order that differs from entry to entry, as
+ * rendezvous hashing does. An entry that has restarted ranks them as before.
+ */
+final class EndpointPreference implements ToDoubleFunction<GuardId> {
+
+	/** Golden ratio in 64 bits, the step of SplitMix64. */
+	private static final long STEP = 0x9E3779B97F4A7C15L;
+
+	/** Multipliers of the finalizer of SplitMix64. */
+	private static final long FIRST_FACTOR = 0xBF58476D1CE4E5B9L;
+
+	private static final long SECOND_FACTOR = 0x94D049BB133111EBL;
+
+	private static final int FIRST_SHIFT = 30;
+
+	private static final int SECOND_SHIFT = 27;
+
+	private static final int THIRD_SHIFT = 31;
+
+	/** A double has 53 bits of precision. */
+	private static final int UNUSED_BITS = 11;
+
+	private static final double RANGE = 0x1.0p53;
+
+	private final EntryId entry;
+
+	/**
+	 * Creates the ranking of an entry.
+	 * @param entry the entry
+	 */
+	EndpointPreference(EntryId entry) {
+		this.entry = entry;
+	}
+
+	@Override
+	public double applyAsDouble(GuardId guard) {
+		// Written out, because the classes of a hash library would lengthen each start.
+		long hash = this.entry.value().hashCode() * STEP + guard.value().hashCode();
+		hash = (hash ^ (hash >>> FIRST_SHIFT)) * FIRST_FACTOR;
+		hash = (hash ^ (hash >>> SECOND_SHIFT)) * SECOND_FACTOR;
+		hash ^= hash >>> THIRD_SHIFT;
+		return (hash >>> UNUSED_BITS) / RANGE;
+	}
+
+}
--- a/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 
 import io.coriandermux.core.estimate.SpeedScale;
 import io.coriandermux.core.id.GuardId;
@@ -23,17 +24,34 @@
 	 */
 	private static final double FILL_WEIGHT = 0.1;
 
+	/**
+	 * Endpoints of the same speed differ by up to this part for an entry, and otherwise
+	 * for each entry. Without it all entries choose the same endpoint between two reports
+	 * of its guard, and all orders but the first few find no room.
+	 */
+	private static final double PREFERENCE_WEIGHT = 0.2;
+
 	/** Run time on a rack away from the data, as a multiple of that near it. */
 	private final double remoteFactor;
 
+	private final ToDoubleFunction<GuardId> preference;
+
 	private final SpeedScale scale = new SpeedScale();
 
 	private final OutlierEjection ejection = new OutlierEjection();
 
 	private final Map<GuardId, PooledEndpoint> endpoints = new TreeMap<>();
 
-	EndpointTable(double remoteFactor) {
+	/**
+	 * Creates an empty table.
+	 * @param remoteFactor run time on a rack away from the data, as a multiple of that
+	 * near it
+	 * @param preference rank of a guard for this entry between 0 and 1, the lowest
+	 * preferred
+	 */
+	EndpointTable(double remoteFactor, ToDoubleFunction<GuardId> preference) {
 		this.remoteFactor = remoteFactor;
+		this.preference = preference;
 	}
 
 	Collection<PooledEndpoint> all() {
@@ -53,7 +71,7 @@
 		if (known != null) {
 			known.speed().leave();
 		}
-		PooledEndpoint added = new PooledEndpoint(guard, incarnation, this.scale);
+		PooledEndpoint added = new PooledEndpoint(guard, incarnation, this.scale, this.preference.applyAsDouble(guard));
 		this.endpoints.put(guard, added);
 		return added;
 	}
@@ -123,7 +141,8 @@
 	private double cost(PooledEndpoint endpoint, TaskGroup group) {
 		boolean remote = !group.rack().isEmpty() && !endpoint.load().labels().contains(group.rack());
 		double used = 1 - (double) endpoint.free().millicores() / Math.max(1, endpoint.load().capacity().millicores());
-		return endpoint.speed().slowness() * (remote ? this.remoteFactor : 1) * (1 + FILL_WEIGHT * used);
+		return endpoint.speed().slowness() * (remote ? this.remoteFactor : 1)
+				* (1 + FILL_WEIGHT * used + PREFERENCE_WEIGHT * endpoint.preference());
 	}
 
 	private static boolean isCrowded(BatchTask task, PooledEndpoint endpoint, TaskGroup group) {
--- a/core/src/main/java/io/coriandermux/core/dispatch/PooledEndpoint.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/PooledEndpoint.java
@@ -24,6 +24,8 @@
 
 	private final EndpointSpeed speed;
 
+	private final double preference;
+
 	private final EndpointHealth health = new EndpointHealth();
 
 	private final Deque<Order> unseen = new ArrayDeque<>();
@@ -44,10 +46,11 @@
 
 	private long loadedNanos;
 
-	PooledEndpoint(GuardId guard, Incarnation incarnation, SpeedScale scale) {
+	PooledEndpoint(GuardId guard, Incarnation incarnation, SpeedScale scale, double preference) {
 		this.guard = guard;
 		this.incarnation = incarnation;
 		this.speed = new EndpointSpeed(scale);
+		this.preference = preference;
 	}
 
 	GuardId guard() {
@@ -62,6 +65,10 @@
 		return this.speed;
 	}
 
+	double preference() {
+		return this.preference;
+	}
+
 	EndpointHealth health() {
 		return this.health;
 	}
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatchBed.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatchBed.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
@@ -42,7 +43,7 @@
 
 	private long nanos = 1_000_000_000L;
 
-	final DispatchNode node = new DispatchNode(DispatchSettings.usual(), 1.5, this.answers::put,
+	final DispatchNode node = new DispatchNode(new EntryId("e1"), DispatchSettings.usual(), 1.5, this.answers::put,
 			(guard, message) -> this.sent.add(new Sent(guard, message)), (notice) -> {
 			}, now());
 
@@ -75,6 +76,7 @@
 	void load(String guard, Amounts capacity, Amounts free, Set<String> labels, long order) {
 		EndpointLoad load = new EndpointLoad(POOL, labels, capacity, free, true);
 		this.node.message(new GuardId(guard), INCARNATION, new EndpointChanged(load, order), now());
+		this.node.settle(now());
 	}
 
 	void advance(long millis) {
@@ -122,6 +124,7 @@
 
 	void end(String guard, RunId run, RunOutcome outcome) {
 		this.node.message(new GuardId(guard), INCARNATION, new RunEnded(run, outcome, 200), now());
+		this.node.settle(now());
 	}
 
 	BatchVerdict verdict(CallerRef caller) {
