Pass the configuration on by version, and follow the store by its changes

Cause: each entry that read a configuration sent the whole document to each other entry, 14 times 300 KB over links of 14 Mbit/s with 1,844 routes; and each change under a prefix made each entry read all keys again, 95 announcements after a start of all processes.

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -20,9 +20,12 @@
 import io.coriandermux.core.dispatch.DispatchNode;
 import io.coriandermux.core.dispatch.DispatchSettings;
 import io.coriandermux.core.dispatch.DispatchStatus;
+import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.message.Heartbeat;
 import io.coriandermux.core.message.Message;
+import io.coriandermux.core.message.TablesOffer;
+import io.coriandermux.core.message.TablesPull;
 import io.coriandermux.core.message.TablesPush;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.daemon.log.LogEvent;
@@ -31,6 +34,7 @@
 import io.coriandermux.daemon.run.ProcessContext;
 import io.coriandermux.daemon.run.Shell;
 import io.coriandermux.daemon.run.StoreWatch;
+import io.coriandermux.daemon.run.Worker;
 import io.coriandermux.daemon.settings.BatchEntrySettings;
 import io.coriandermux.store.KvEntry;
 import io.coriandermux.store.KvSnapshot;
@@ -74,7 +78,10 @@
 	/** Processes whose link is up. Used by the decision thread only. */
 	private final Set<PeerName> linked = new LinkedHashSet<>();
 
-	private TablesPush inForce;
+	private final TablesExchange exchange;
+
+	/** Reads documents that other entries send, which takes too long for decisions. */
+	private final Worker reader = new Worker("tables");
 
 	private volatile boolean ready;
 
@@ -92,13 +99,14 @@
 			throws IOException {
 		this.config = config;
 		this.process = new BatchProcess(PeerRole.ENTRY, settings.process(), time, store,
-				new BatchProcess.Parts(this::tick, new Listener(), (former) -> {
+				new BatchProcess.Parts(this::settle, this::tick, new Listener(), (former) -> {
 				}));
 		this.context = this.process.context();
 		this.loop = this.process.loop();
 		this.links = this.process.links();
-		this.node = new DispatchNode(DispatchSettings.usual(), settings.remoteFactor(), this::answer,
-				(guard, message) -> this.links.send(new PeerName(PeerRole.GUARD, guard.value()), message),
+		this.exchange = new TablesExchange(new PeerName(PeerRole.ENTRY, this.process.id()), this.links::send);
+		this.node = new DispatchNode(new EntryId(this.process.id()), DispatchSettings.usual(), settings.remoteFactor(),
+				this::answer, (guard, message) -> this.links.send(new PeerName(PeerRole.GUARD, guard.value()), message),
 				this.context.log()::record, time.now());
 		this.process.start(() -> this.node.status(this.process.now()));
 		this.configWatch = new StoreWatch(store, config.key(), BatchIntervals.CONFIG_WATCH_MILLIS, this::configured,
@@ -166,11 +174,17 @@
 	public void close() {
 		this.configWatch.close();
 		this.memberWatch.close();
+		this.reader.close();
 		this.process.close();
 	}
 
+	private void settle() {
+		this.node.settle(this.process.now());
+	}
+
 	private void tick() {
 		this.node.tick(this.process.now());
+		this.exchange.tick(this.process.now().nanos());
 		DispatchStatus status = this.node.status(this.process.now());
 		this.ready = status.version() > 0 && status.accepting() > 0 && !this.process.isShuttingDown();
 	}
@@ -184,19 +198,17 @@
 	}
 
 	private void configured(KvSnapshot snapshot) {
-		snapshot.entry(this.config.key()).ifPresent((entry) -> apply(entry.value(), true));
+		snapshot.entry(this.config.key()).ifPresent((entry) -> apply(entry.value()));
 	}
 
-	private void apply(String document, boolean fromStore) {
+	private void apply(String document) {
 		try {
 			BatchTables tables = this.config.reader().read(document);
 			this.loop.put(() -> {
 				if (this.node.tables(tables)) {
 					this.configured = true;
-					this.inForce = new TablesPush(tables.version(), document.getBytes(StandardCharsets.UTF_8));
-					this.linked.stream()
-						.filter((peer) -> fromStore && peer.role() == PeerRole.ENTRY)
-						.forEach((peer) -> this.links.send(peer, this.inForce));
+					this.exchange.inForce(new TablesPush(tables.version(), document.getBytes(StandardCharsets.UTF_8)),
+							this.linked.stream().filter((peer) -> peer.role() == PeerRole.ENTRY).toList());
 				}
 			});
 		}
@@ -246,8 +258,8 @@
 		if (peer.name().role() == PeerRole.GUARD) {
 			this.node.guardUp(new GuardId(peer.name().id()), peer.incarnation());
 		}
-		else if (this.inForce != null) {
-			this.links.send(peer.name(), this.inForce);
+		else {
+			this.exchange.up(peer.name());
 		}
 	}
 
@@ -258,11 +270,24 @@
 		if (peer.name().role() == PeerRole.GUARD) {
 			this.node.guardLost(new GuardId(peer.name().id()), peer.incarnation(), this.process.now());
 		}
+		else {
+			this.exchange.lost(peer.name());
+		}
 	}
 
 	private void message(PeerIdentity peer, Message message) {
 		if (message instanceof TablesPush push) {
-			apply(new String(push.document(), StandardCharsets.UTF_8), false);
+			String document = new String(push.document(), StandardCharsets.UTF_8);
+			if (!this.reader.offer(() -> apply(document))) {
+				this.context.log()
+					.record(LogEvent.TABLES_REFUSED, this.config.key(), "earlier documents are still being read");
+			}
+		}
+		else if (message instanceof TablesOffer offer) {
+			this.exchange.offered(peer.name(), offer.version(), this.process.now().nanos());
+		}
+		else if (message instanceof TablesPull pull) {
+			this.exchange.asked(peer.name(), pull.version());
 		}
 		else if (peer.name().role() == PeerRole.GUARD) {
 			this.node.message(new GuardId(peer.name().id()), peer.incarnation(), message, this.process.now());
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
@@ -19,6 +19,7 @@
 import io.coriandermux.core.message.RunEnded;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.daemon.log.LogEvent;
+import io.coriandermux.daemon.run.DecisionLoop;
 import io.coriandermux.daemon.run.MalformedValueException;
 import io.coriandermux.daemon.run.ProcessContext;
 import io.coriandermux.daemon.run.Shell;
@@ -53,7 +54,7 @@
 	public BatchGuardShell(BatchGuardSettings settings, TimeSource time, Store store, EndpointConnector endpoint)
 			throws IOException {
 		this.process = new BatchProcess(PeerRole.GUARD, settings.process(), time, store,
-				new BatchProcess.Parts(this::tick, new Listener(), this::remember));
+				new BatchProcess.Parts(DecisionLoop.NOTHING_TO_SETTLE, this::tick, new Listener(), this::remember));
 		// The wall clock is a fencing token that rises with each incarnation; if it was
 		// set back, the endpoint refuses the token and the decisions raise it.
 		this.node = new LeaseNode(LeaseSettings.of(settings.maxLeaseMillis()),
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
@@ -71,7 +71,7 @@
 	BatchProcess(PeerRole role, ProcessSettings settings, TimeSource time, Store store, Parts parts)
 			throws IOException {
 		this.context = ProcessContext.starting(settings, time);
-		this.loop = new DecisionLoop("decisions", parts.tick(), time, this.context.log(),
+		this.loop = new DecisionLoop("decisions", parts.settle(), parts.tick(), time, this.context.log(),
 				this.shutdownAsked::countDown);
 		this.links = this.context.links(role, BatchIntervals.links(), () -> Revisions.NONE, parts.listener());
 		this.self = new Member(new PeerName(role, settings.id()), this.context.incarnation(),
@@ -206,11 +206,12 @@
 	/**
 	 * What a process does with events.
 	 *
+	 * @param settle called on the decision thread after the work that waited has run
 	 * @param tick called every 20 ms on the decision thread
 	 * @param listener receives messages and events of the links
 	 * @param former receives what an earlier incarnation announced
 	 */
-	record Parts(Runnable tick, LinkListener listener, Consumer<String> former) {
+	record Parts(Runnable settle, Runnable tick, LinkListener listener, Consumer<String> former) {
 
 	}
 
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/MemoryStore.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/MemoryStore.java
@@ -56,8 +56,8 @@
 	}
 
 	@Override
-	public synchronized KvSnapshot watch(String prefix, long after, long waitMillis) {
-		if (this.revision == after) {
+	public synchronized KvSnapshot watch(String prefix, KvSnapshot known, long waitMillis) {
+		if (this.revision == known.revision()) {
 			try {
 				TimeUnit.MILLISECONDS.timedWait(this, waitMillis);
 			}
--- a/daemon/src/main/java/io/coriandermux/daemon/entry/EntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/entry/EntryShell.java
@@ -96,7 +96,8 @@
 	public EntryShell(EntryShellSettings settings, TimeSource time) throws IOException, StoreException {
 		this.settings = settings;
 		this.context = ProcessContext.starting(settings.process(), time);
-		this.loop = new DecisionLoop("decisions", this::tick, time, this.context.log(), this.drainAsked::countDown);
+		this.loop = new DecisionLoop("decisions", DecisionLoop.NOTHING_TO_SETTLE, this::tick, time, this.context.log(),
+				this.drainAsked::countDown);
 		this.config = new ConfigKeeper((tables) -> put(new TablesChanged(tables)), this.context.log());
 		this.links = this.context.links(PeerRole.ENTRY, this::revisions, new Listener());
 		EntryInfo self = new EntryInfo(new EntryId(settings.process().id()), this.context.incarnation(),
--- a/daemon/src/main/java/io/coriandermux/daemon/guard/GuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/guard/GuardShell.java
@@ -95,7 +95,8 @@
 		this.settings = settings;
 		ProcessSettings process = settings.process();
 		this.context = ProcessContext.starting(process, time);
-		this.loop = new DecisionLoop("decisions", this::tick, time, this.context.log(), this.drainAsked::countDown);
+		this.loop = new DecisionLoop("decisions", DecisionLoop.NOTHING_TO_SETTLE, this::tick, time, this.context.log(),
+				this.drainAsked::countDown);
 		this.links = this.context.links(PeerRole.GUARD, () -> Revisions.NONE, new Listener());
 		GuardInfo self = new GuardInfo(new GuardId(process.id()), this.context.incarnation(), process.address(),
 				this.links.port(), process.zone(), process.rack(), settings.endpoint(), settings.slots(),
--- a/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
@@ -18,6 +18,10 @@
 	/** Size of the ring. */
 	public static final int RING_SIZE = 4096;
 
+	/** For decisions that leave nothing to be done after the work that waited. */
+	public static final Runnable NOTHING_TO_SETTLE = () -> {
+	};
+
 	/**
 	 * Each wake-up costs processor time also when idle; waits and time limits are far
 	 * longer than 20 ms.
@@ -32,6 +36,8 @@
 
 	private final MpscArrayQueue<Runnable> ring = new MpscArrayQueue<>(RING_SIZE);
 
+	private final Runnable settle;
+
 	private final Runnable tick;
 
 	private final TimeSource time;
@@ -53,13 +59,17 @@
 	/**
 	 * Creates a loop; {@link #start} begins it.
 	 * @param name name of the thread
+	 * @param settle called on the thread after the work that waited has run, for what
+	 * need not be done for each piece of it
 	 * @param tick called every 20 ms on the thread
 	 * @param time the clock of the process
 	 * @param log receives a fault of the program
 	 * @param onFailure called on the thread after a fault of the program has ended the
 	 * loop
 	 */
-	public DecisionLoop(String name, Runnable tick, TimeSource time, EventLog log, Runnable onFailure) {
+	public DecisionLoop(String name, Runnable settle, Runnable tick, TimeSource time, EventLog log,
+			Runnable onFailure) {
+		this.settle = settle;
 		this.tick = tick;
 		this.time = time;
 		this.log = log;
@@ -152,6 +162,9 @@
 
 	private void pass() {
 		int count = this.ring.drain(Runnable::run, BATCH);
+		if (count > 0) {
+			this.settle.run();
+		}
 		long now = this.time.now().nanos();
 		if (now - this.tickedNanos >= TICK_NANOS) {
 			this.tickedNanos = now;
--- a/daemon/src/main/java/io/coriandermux/daemon/run/StoreWatch.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/StoreWatch.java
@@ -1,5 +1,6 @@
 package io.coriandermux.daemon.run;
 
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,6 +20,12 @@
 
 	private static final long RETRY_MILLIS = 500;
 
+	/**
+	 * Changes that come in quick succession, such as the announcements of a fleet that
+	 * has just started, are read together.
+	 */
+	private static final long SETTLE_MILLIS = 40;
+
 	private final Store store;
 
 	private final long waitMillis;
@@ -65,15 +72,17 @@
 	}
 
 	private void run() {
-		long known = -1;
+		Optional<KvSnapshot> known = Optional.empty();
 		while (this.closed.getCount() > 0) {
 			try {
-				KvSnapshot snapshot = (known < 0) ? this.store.readPrefix(this.prefix)
-						: this.store.watch(this.prefix, known, this.waitMillis);
+				KvSnapshot snapshot = known.isEmpty() ? this.store.readPrefix(this.prefix)
+						: this.store.watch(this.prefix, known.get(), this.waitMillis);
 				this.health.answered();
-				if (snapshot.revision() != known) {
-					known = snapshot.revision();
+				boolean changed = known.isEmpty() || !known.get().entries().equals(snapshot.entries());
+				known = Optional.of(snapshot);
+				if (changed) {
 					this.receiver.accept(snapshot);
+					pause(SETTLE_MILLIS);
 				}
 			}
 			catch (StoreException ex) {
@@ -82,14 +91,14 @@
 				}
 				this.health.failed(ex);
 				this.unavailable.run();
-				pause();
+				pause(RETRY_MILLIS);
 			}
 		}
 	}
 
-	private void pause() {
+	private void pause(long millis) {
 		try {
-			this.closed.await(RETRY_MILLIS, TimeUnit.MILLISECONDS);
+			this.closed.await(millis, TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/daemon/src/main/java/io/coriandermux/daemon/run/Worker.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/Worker.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A thread that carries out blocking work in order, fed by a bounded queue.
@@ -11,8 +10,6 @@
 
 	private static final int QUEUE_SIZE = 4096;
 
-	private static final long WAIT_MILLIS = 200;
-
 	private static final long CLOSE_WAIT_MILLIS = 5000;
 
 	private final BlockingQueue<Runnable> queue = new ArrayBlockingQueue<>(QUEUE_SIZE);
@@ -55,10 +52,7 @@
 	private void run() {
 		while (this.running) {
 			try {
-				Runnable work = this.queue.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-				if (work != null) {
-					work.run();
-				}
+				this.queue.take().run();
 			}
 			catch (InterruptedException ex) {
 				// Only close interrupts; the loop checks whether it was called.
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchPathTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchPathTests.java
@@ -187,8 +187,8 @@
 		}
 
 		@Override
-		public KvSnapshot watch(String prefix, long after, long waitMillis) {
-			return shown(prefix, this.all.watch(prefix, after, waitMillis));
+		public KvSnapshot watch(String prefix, KvSnapshot known, long waitMillis) {
+			return shown(prefix, this.all.watch(prefix, known, waitMillis));
 		}
 
 		private static KvSnapshot shown(String prefix, KvSnapshot snapshot) {
--- /dev/null
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/TablesExchangeTests.java
@@ -0,0 +1,104 @@
+package io.coriandermux.daemon.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.coriandermux.core.message.Message;
+import io.coriandermux.core.message.TablesOffer;
+import io.coriandermux.core.message.TablesPull;
+import io.coriandermux.core.message.TablesPush;
+import io.coriandermux.wire.PeerName;
+import io.coriandermux.wire.PeerRole;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a large configuration that fills the links of small entries, and against
+ * an entry without the store that does not learn of it.
+ */
+class TablesExchangeTests {
+
+	private static final byte[] DOCUMENT = new byte[300_000];
+
+	private final List<Message> sent = new ArrayList<>();
+
+	private final List<PeerName> receivers = new ArrayList<>();
+
+	private final TablesExchange exchange = new TablesExchange(entry(0), (peer, message) -> {
+		this.receivers.add(peer);
+		this.sent.add(message);
+	});
+
+	@Example
+	void offersALargeConfigurationWithoutItsDocument() {
+		this.exchange.inForce(tables(7), entries(14));
+		assertThat(this.sent).hasSize(14).allMatch(TablesOffer.class::isInstance);
+	}
+
+	@Example
+	void asksNobodyWhenTheStoreBringsTheConfigurationInTime() {
+		this.exchange.offered(entry(1), 7, 0);
+		this.exchange.tick(millis(100));
+		this.exchange.inForce(tables(7), List.of());
+		this.exchange.tick(millis(5_000));
+		assertThat(this.sent).isEmpty();
+	}
+
+	@Example
+	void asksOneEntryAtATimeWhenTheStoreDoesNotBringTheConfiguration() {
+		entries(14).forEach((peer) -> this.exchange.offered(peer, 7, 0));
+		this.exchange.tick(millis(310));
+		this.exchange.tick(millis(330));
+		assertThat(this.sent).containsExactly(new TablesPull(0));
+		this.exchange.tick(millis(1_000));
+		assertThat(this.receivers).hasSize(2).doesNotHaveDuplicates();
+	}
+
+	@Example
+	void asksAnotherEntryWhenTheFirstIsLost() {
+		this.exchange.offered(entry(1), 7, 0);
+		this.exchange.offered(entry(2), 7, 0);
+		this.exchange.lost(entry(1));
+		this.exchange.tick(millis(310));
+		assertThat(this.receivers).containsExactly(entry(2));
+	}
+
+	@Example
+	void answersWithTheDocumentOnlyIfItIsNewer() {
+		this.exchange.inForce(tables(7), List.of());
+		this.exchange.asked(entry(1), 7);
+		assertThat(this.sent).isEmpty();
+		this.exchange.asked(entry(1), 5);
+		assertThat(this.sent).containsExactly(tables(7));
+	}
+
+	@Example
+	void ignoresOffersOfWhatItHas() {
+		this.exchange.inForce(tables(7), List.of());
+		this.exchange.offered(entry(1), 7, 0);
+		this.exchange.tick(millis(10_000));
+		assertThat(this.sent).isEmpty();
+	}
+
+	private static TablesPush tables(long version) {
+		return new TablesPush(version, DOCUMENT);
+	}
+
+	private static PeerName entry(int number) {
+		return new PeerName(PeerRole.ENTRY, "e" + number);
+	}
+
+	private static List<PeerName> entries(int count) {
+		List<PeerName> entries = new ArrayList<>();
+		for (int number = 1; number <= count; number++) {
+			entries.add(entry(number));
+		}
+		return entries;
+	}
+
+	private static long millis(long value) {
+		return value * 1_000_000;
+	}
+
+}
--- a/standins/src/test/java/io/coriandermux/standins/StoreClientTests.java
+++ b/standins/src/test/java/io/coriandermux/standins/StoreClientTests.java
@@ -123,7 +123,7 @@
 		CompletableFuture<KvSnapshot> lapsed = watch(revision);
 		this.clock.advance(1000);
 		assertThat(lapsed.join().entries()).isEmpty();
-		assertThat(this.client.watch("/guards/", Long.MAX_VALUE / 100, 1).entries()).isEmpty();
+		assertThat(this.client.watch("/guards/", known(Long.MAX_VALUE / 100), 1).entries()).isEmpty();
 	}
 
 	@Example
@@ -137,15 +137,19 @@
 	void callsAreCounted() throws StoreException {
 		this.client.put("/k", "one", 0, Optional.empty());
 		this.client.readPrefix("/");
-		this.client.watch("/", 0, 1);
+		this.client.watch("/", known(0), 1);
 		this.client.renewLease(this.client.grantLease(10));
 		assertThat(this.store.calls()).isEqualTo(new StoreCalls(1, 1, 2, 1));
 	}
 
+	private static KvSnapshot known(long revision) {
+		return new KvSnapshot(revision, List.of());
+	}
+
 	private CompletableFuture<KvSnapshot> watch(long after) {
 		return CompletableFuture.supplyAsync(() -> {
 			try {
-				return this.client.watch("/guards/", after, 30_000);
+				return this.client.watch("/guards/", known(after), 30_000);
 			}
 			catch (StoreException ex) {
 				throw new AssertionError(ex);
--- a/store/src/main/java/io/coriandermux/store/Store.java
+++ b/store/src/main/java/io/coriandermux/store/Store.java
@@ -58,12 +58,12 @@
 	/**
 	 * Waits for a change under a prefix.
 	 * @param prefix the prefix
-	 * @param after the revision that the caller knows
+	 * @param known what the caller knows
 	 * @param waitMillis longest wait in milliseconds
 	 * @return the keys with their values, unchanged if the wait has ended
 	 * @throws StoreException if no store process answers
 	 */
-	KvSnapshot watch(String prefix, long after, long waitMillis) throws StoreException;
+	KvSnapshot watch(String prefix, KvSnapshot known, long waitMillis) throws StoreException;
 
 	@Override
 	void close();
--- a/store/src/main/java/io/coriandermux/store/StoreClient.java
+++ b/store/src/main/java/io/coriandermux/store/StoreClient.java
@@ -99,9 +99,10 @@
 	}
 
 	@Override
-	public KvSnapshot watch(String prefix, long after, long waitMillis) throws StoreException {
-		return snapshot(call("GET", "/v1/watch?prefix=" + encode(prefix) + "&after=" + after + "&waitMs=" + waitMillis,
-				"", this.limit.plusMillis(waitMillis), true));
+	public KvSnapshot watch(String prefix, KvSnapshot known, long waitMillis) throws StoreException {
+		return snapshot(call("GET",
+				"/v1/watch?prefix=" + encode(prefix) + "&after=" + known.revision() + "&waitMs=" + waitMillis, "",
+				this.limit.plusMillis(waitMillis), true));
 	}
 
 	@Override
