--- a/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
@@ -461,7 +461,7 @@
 	}
 
 	/**
-	 * Lets time pass; to be called about every 20 ms.
+	 * Lets time pass; to be called about every 20 ms, less often without work.
 	 * @param now the current time
 	 */
 	public void tick(Moment now) {
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
@@ -42,7 +42,7 @@
 	 * and those of the system with the product of entries and guards: at 15 entries and
 	 * 80 guards they were more than the messages of all runs.
 	 */
-	private static final long LOADS_PER_SECOND = 100;
+	private static final long LOADS_PER_SECOND = 64;
 
 	private static final long NANOS_PER_SECOND = 1000 * NANOS_PER_MILLI;
 
@@ -402,7 +402,7 @@
 	}
 
 	/**
-	 * Lets time pass; to be called about every 20 ms.
+	 * Lets time pass; to be called about every 20 ms, less often without work.
 	 * @param now the current time
 	 */
 	public void tick(Moment now) {
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
@@ -207,7 +207,7 @@
 	 * What a process does with events.
 	 *
 	 * @param settle called on the decision thread after the work that waited has run
-	 * @param tick called every 20 ms on the decision thread
+	 * @param tick called on the decision thread every 20 ms, less often without work
 	 * @param listener receives messages and events of the links
 	 * @param former receives what an earlier incarnation announced
 	 */
--- a/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+	/**
+	 * Without work the decisions only look after time limits of 150 ms and more. On a
+	 * fleet of mostly idle guards the ticks are a large part of the processor time.
+	 */
+	private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
 	private static final long RING_FULL_PARK_NANOS = 50_000;
 
 	private static final int BATCH = 256;
@@ -56,12 +62,16 @@
 
 	private long tickedNanos;
 
+	/** Whether there was work since the last tick. */
+	private boolean worked;
+
 	/**
 	 * Creates a loop; {@link #start} begins it.
 	 * @param name name of the thread
 	 * @param settle called on the thread after the work that waited has run, for what
 	 * need not be done for each piece of it
-	 * @param tick called every 20 ms on the thread
+	 * @param tick called on the thread every 20 ms while there is work, less often
+	 * without
 	 * @param time the clock of the process
 	 * @param log receives a fault of the program
 	 * @param onFailure called on the thread after a fault of the program has ended the
@@ -163,17 +173,20 @@
 	private void pass() {
 		int count = this.ring.drain(Runnable::run, BATCH);
 		if (count > 0) {
+			this.worked = true;
 			this.settle.run();
 		}
 		long now = this.time.now().nanos();
-		if (now - this.tickedNanos >= TICK_NANOS) {
+		long tickNanos = this.worked ? TICK_NANOS : IDLE_TICK_NANOS;
+		if (now - this.tickedNanos >= tickNanos) {
 			this.tickedNanos = now;
+			this.worked = false;
 			this.tick.run();
 		}
 		else if (count == 0) {
 			this.parked = true;
 			if (this.ring.isEmpty() && this.running) {
-				LockSupport.parkNanos(TICK_NANOS - (now - this.tickedNanos));
+				LockSupport.parkNanos(tickNanos - (now - this.tickedNanos));
 			}
 			this.parked = false;
 		}
--- a/wire/src/main/java/io/coriandermux/wire/LinkLoop.java
+++ b/wire/src/main/java/io/coriandermux/wire/LinkLoop.java
@@ -33,15 +33,15 @@
 
 	private static final long BUSY_WAIT_MILLIS = 1;
 
-	private static final long IDLE_WAIT_MILLIS = 20;
+	private static final long IDLE_WAIT_MILLIS = 50;
 
 	private static final long RING_FULL_PARK_NANOS = 20_000;
 
 	/**
-	 * Heartbeats are 500 ms apart; 20 ms bounds their delay and keeps an idle process
+	 * Heartbeats are 500 ms apart; 50 ms bounds their delay and keeps an idle process
 	 * asleep.
 	 */
-	private static final long TIMER_NANOS = 20 * 1000000L;
+	private static final long TIMER_NANOS = 50 * 1000000L;
 
 	private static final long CLOSE_WAIT_MILLIS = 2000;
 
