Ping entries without runs half as often, and read announcements only when they change

Cause, from thread times before any traffic (19 s after the start of 95 processes): the link threads of 15 entries took 10.1 s, the threads that watch the announcements 4.2 s, against 3.3 s of the decisions.

--- a/core/src/main/java/io/coriandermux/core/lease/EntrySessions.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EntrySessions.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 
 import io.coriandermux.core.id.EntryId;
@@ -18,6 +19,12 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
+	/**
+	 * An entry without runs is pinged in each second round, each 500 ms, which keeps its
+	 * session of 900 ms alive and its link from counting as silent after 700 ms.
+	 */
+	private static final int IDLE_ROUNDS = 2;
+
 	private final LeaseSettings settings;
 
 	private final EntryChannel entries;
@@ -26,6 +33,8 @@
 
 	private long pingedNanos;
 
+	private long round;
+
 	EntrySessions(LeaseSettings settings, EntryChannel entries) {
 		this.settings = settings;
 		this.entries = entries;
@@ -54,20 +63,29 @@
 	}
 
 	/**
-	 * Asks each entry to confirm its session if the interval of the pings has passed.
+	 * Asks the entries to confirm their sessions whose interval of pings has passed. A
+	 * session of an entry without runs is only to be ready for its next order; most
+	 * sessions of a large fleet are.
+	 * @param active entries that have runs at the endpoint
 	 * @param nowNanos the current time on the monotonic clock
-	 * @return whether the entries were asked
+	 * @return whether the entries without runs were asked too
 	 */
-	boolean pingIfDue(long nowNanos) {
-		if (nowNanos - this.pingedNanos < this.settings.pingMillis() * NANOS_PER_MILLI) {
+	boolean pingIfDue(Set<EntryId> active, long nowNanos) {
+		long passedNanos = nowNanos - this.pingedNanos;
+		if (passedNanos < this.settings.pingMillis() * NANOS_PER_MILLI) {
 			return false;
 		}
 		this.pingedNanos = nowNanos;
-		ping(nowNanos);
-		return true;
+		this.round++;
+		boolean all = this.round % IDLE_ROUNDS == 0;
+		this.sessions.keySet()
+			.stream()
+			.filter((entry) -> all || active.contains(entry))
+			.forEach((entry) -> this.entries.send(entry, new SessionPing(nowNanos)));
+		return all;
 	}
 
-	private void ping(long nowNanos) {
+	private void pingAll(long nowNanos) {
 		this.sessions.keySet().forEach((entry) -> this.entries.send(entry, new SessionPing(nowNanos)));
 	}
 
@@ -78,7 +96,7 @@
 	void doubt(long nowNanos) {
 		long confirmedNanos = nowNanos - (this.settings.sessionMillis() - this.settings.pingMillis()) * NANOS_PER_MILLI;
 		this.sessions.values().forEach((session) -> session.doubt(confirmedNanos));
-		ping(nowNanos);
+		pingAll(nowNanos);
 	}
 
 	/**
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseNode.java
@@ -409,7 +409,7 @@
 		this.nowNanos = now.nanos();
 		checkClocks(now);
 		checkSessions(now);
-		boolean pinged = this.sessions.pingIfDue(now.nanos());
+		boolean pinged = this.sessions.pingIfDue(this.runs.entries(), now.nanos());
 		long callNanos = this.settings.callMillis() * NANOS_PER_MILLI;
 		this.runs.repeatStops(now.nanos());
 		if (!this.runs.isEmpty() && this.clock.isLapsed(now.nanos())) {
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.message.StartRun;
@@ -82,6 +84,14 @@
 		return this.used;
 	}
 
+	/**
+	 * Returns the entries that have runs here.
+	 * @return the entries
+	 */
+	Set<EntryId> entries() {
+		return this.runs.values().stream().map(HeldRun::entry).collect(Collectors.toSet());
+	}
+
 	List<HeldRun> all() {
 		return new ArrayList<>(this.runs.values());
 	}
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -36,7 +36,6 @@
 import io.coriandermux.daemon.run.StoreWatch;
 import io.coriandermux.daemon.run.Worker;
 import io.coriandermux.daemon.settings.BatchEntrySettings;
-import io.coriandermux.store.KvEntry;
 import io.coriandermux.store.KvSnapshot;
 import io.coriandermux.store.Store;
 import io.coriandermux.wire.LinkListener;
@@ -78,6 +77,8 @@
 	/** Processes whose link is up. Used by the decision thread only. */
 	private final Set<PeerName> linked = new LinkedHashSet<>();
 
+	private final MemberList members = new MemberList();
+
 	private final TablesExchange exchange;
 
 	/** Reads documents that other entries send, which takes too long for decisions. */
@@ -218,16 +219,7 @@
 	}
 
 	private void listed(KvSnapshot snapshot) {
-		Map<PeerName, Member> members = new LinkedHashMap<>();
-		for (KvEntry entry : snapshot.entries()) {
-			try {
-				Member member = MemberValues.read(entry);
-				members.put(member.name(), member);
-			}
-			catch (MalformedValueException ex) {
-				this.context.log().record(LogEvent.VALUE_MALFORMED, entry.key(), ex.getMessage());
-			}
-		}
+		Map<PeerName, Member> members = this.members.read(snapshot, this.context.log());
 		this.loop.put(() -> connect(members));
 	}
 
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/MemberValuesTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/MemberValuesTests.java
@@ -1,5 +1,8 @@
 package io.coriandermux.daemon.batch;
 
+import java.time.Clock;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -8,11 +11,14 @@
 import io.coriandermux.core.lease.EndpointLife;
 import io.coriandermux.core.lease.EndpointReport;
 import io.coriandermux.core.run.Amounts;
+import io.coriandermux.daemon.log.EventLog;
 import io.coriandermux.daemon.run.MalformedValueException;
 import io.coriandermux.store.KvEntry;
+import io.coriandermux.store.KvSnapshot;
 import io.coriandermux.wire.PeerAddress;
 import io.coriandermux.wire.PeerName;
 import io.coriandermux.wire.PeerRole;
+import io.coriandermux.wire.SystemTime;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -43,6 +49,21 @@
 		assertThat(MemberValues.report(entry.value())).isEmpty();
 	}
 
+	@Example
+	void listsTheReadableAnnouncementsAsTheyChange() {
+		EventLog log = new EventLog("entry", new SystemTime(Clock.systemUTC()));
+		MemberList list = new MemberList();
+		String key = MemberValues.write(GUARD, Optional.empty()).key();
+		KvEntry first = new KvEntry(key, MemberValues.write(GUARD, Optional.empty()).value(), 3);
+		KvEntry broken = new KvEntry(key + "-broken", "[1]", 4);
+		assertThat(list.read(new KvSnapshot(4, List.of(first, broken)), log))
+			.containsOnly(Map.entry(GUARD.name(), GUARD));
+		Member moved = new Member(GUARD.name(), new Incarnation(8), new PeerAddress("10.1.0.15", 7720));
+		KvEntry second = new KvEntry(key, MemberValues.write(moved, Optional.empty()).value(), 5);
+		assertThat(list.read(new KvSnapshot(5, List.of(second)), log)).containsOnly(Map.entry(GUARD.name(), moved));
+		assertThat(list.read(new KvSnapshot(6, List.of()), log)).isEmpty();
+	}
+
 	@Example
 	void refusesOtherValues() {
 		String key = MemberValues.write(GUARD, Optional.empty()).key();
