Run the decisions of batch processes on the thread of the links

Processes that serve batches now run both on one thread; the ring still takes work of all others. A fault of the program at one message now closes its connection; before it ended the link thread (LinkLoopTests.survivesAFaultOfTheProgramAtOneMessage).

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
@@ -89,7 +89,7 @@
 		ProcessSettings settings = this.context.settings();
 		this.context.metrics().gauge("decisions.depth", this.loop::depth);
 		this.context.metrics().gauge("store.available", () -> this.context.health().available() ? 1 : 0);
-		this.loop.start();
+		this.loop.startOn(this.links);
 		this.links.start();
 		this.announcer.start();
 		this.operators = HttpPort.open(settings.address(), settings.operatorsPort(),
--- a/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
@@ -6,14 +6,17 @@
 
 import io.coriandermux.daemon.log.EventLog;
 import io.coriandermux.daemon.log.LogEvent;
+import io.coriandermux.wire.HostedLoop;
+import io.coriandermux.wire.LinkLoop;
 import io.coriandermux.wire.TimeSource;
 import org.jctools.queues.MpscArrayQueue;
 
 /**
- * The thread that runs the decisions of a process, fed by a bounded ring. A fault of the
- * program ends it, because decisions after a half-made one could break a guarantee.
+ * The decisions of a process, fed by a bounded ring. They run on a thread of their own or
+ * on the thread of the links. A fault of the program ends them, because decisions after a
+ * half-made one could break a guarantee.
  */
-public final class DecisionLoop implements AutoCloseable {
+public final class DecisionLoop implements HostedLoop, AutoCloseable {
 
 	/** Size of the ring. */
 	public static final int RING_SIZE = 4096;
@@ -52,7 +55,11 @@
 
 	private final Runnable onFailure;
 
-	private final Thread thread;
+	private final String name;
+
+	private volatile Thread thread;
+
+	private volatile LinkLoop host;
 
 	private volatile boolean failed;
 
@@ -66,38 +73,49 @@
 	private boolean worked;
 
 	/**
-	 * Creates a loop; {@link #start} begins it.
-	 * @param name name of the thread
-	 * @param settle called on the thread after the work that waited has run, for what
-	 * need not be done for each piece of it
-	 * @param tick called on the thread every 20 ms while there is work, less often
-	 * without
+	 * Creates a loop; {@link #start} or {@link #startOn} begins it.
+	 * @param name name of the decisions and of their thread
+	 * @param settle called after the work that waited has run, for what need not be done
+	 * for each piece of it
+	 * @param tick called every 20 ms while there is work, less often without
 	 * @param time the clock of the process
 	 * @param log receives a fault of the program
-	 * @param onFailure called on the thread after a fault of the program has ended the
-	 * loop
+	 * @param onFailure called after a fault of the program has ended the loop
 	 */
 	public DecisionLoop(String name, Runnable settle, Runnable tick, TimeSource time, EventLog log,
 			Runnable onFailure) {
+		this.name = name;
 		this.settle = settle;
 		this.tick = tick;
 		this.time = time;
 		this.log = log;
 		this.onFailure = onFailure;
 		this.tickedNanos = time.now().nanos();
-		this.thread = new Thread(this::run, name);
-		this.thread.setDaemon(true);
 	}
 
 	/**
-	 * Starts the thread.
+	 * Starts a thread for the decisions.
 	 */
 	public void start() {
-		this.thread.start();
+		Thread own = new Thread(this::run, this.name);
+		own.setDaemon(true);
+		this.thread = own;
+		own.start();
+	}
+
+	/**
+	 * Runs the decisions on the thread of the links. Most of their work is messages in
+	 * and messages out, and each step from one thread to the other costs more than the
+	 * work.
+	 * @param links the links, not started
+	 */
+	public void startOn(LinkLoop links) {
+		this.host = links;
+		links.host(this);
 	}
 
 	/**
-	 * Hands work to the thread unless the ring is full.
+	 * Hands over work unless the ring is full.
 	 * @param work the work
 	 * @return whether it was taken
 	 */
@@ -106,18 +124,21 @@
 			return false;
 		}
 		// The ring publishes with an ordered store only. Without the fence the flag could
-		// be read before the store is
-		// visible, and the thread would sleep until the next tick.
+		// be read before the store is visible, and the thread would sleep until the next
+		// tick.
 		VarHandle.fullFence();
-		if (this.parked) {
+		if (this.host != null) {
+			this.host.wakeUp();
+		}
+		else if (this.parked) {
 			LockSupport.unpark(this.thread);
 		}
 		return true;
 	}
 
 	/**
-	 * Hands work to the thread and waits while the ring is full. Work is dropped when the
-	 * loop has ended. Not for the link thread, which must not wait.
+	 * Hands over work and waits while the ring is full. Work is dropped when the loop has
+	 * ended. Not for the link thread, which must not wait.
 	 * @param work the work
 	 */
 	public void put(Runnable work) {
@@ -145,9 +166,13 @@
 	@Override
 	public void close() {
 		this.running = false;
-		LockSupport.unpark(this.thread);
+		Thread own = this.thread;
+		if (own == null) {
+			return;
+		}
+		LockSupport.unpark(own);
 		try {
-			this.thread.join(CLOSE_WAIT_MILLIS);
+			own.join(CLOSE_WAIT_MILLIS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -155,22 +180,37 @@
 	}
 
 	private void run() {
-		try {
-			while (this.running) {
-				pass();
+		while (this.running) {
+			long waitNanos = pass();
+			if (waitNanos > 0) {
+				this.parked = true;
+				if (this.ring.isEmpty() && this.running) {
+					LockSupport.parkNanos(waitNanos);
+				}
+				this.parked = false;
 			}
 		}
+	}
+
+	@Override
+	public long pass() {
+		if (!this.running) {
+			return Long.MAX_VALUE;
+		}
+		try {
+			return work();
+		}
 		catch (RuntimeException ex) {
 			this.running = false;
 			StackTraceElement[] trace = ex.getStackTrace();
-			this.log.record(LogEvent.DECISION_FAILED, this.thread.getName(),
-					ex + ((trace.length > 0) ? " at " + trace[0] : ""));
+			this.log.record(LogEvent.DECISION_FAILED, this.name, ex + ((trace.length > 0) ? " at " + trace[0] : ""));
 			this.failed = true;
 			this.onFailure.run();
+			return Long.MAX_VALUE;
 		}
 	}
 
-	private void pass() {
+	private long work() {
 		int count = this.ring.drain(Runnable::run, BATCH);
 		if (count > 0) {
 			this.worked = true;
@@ -182,14 +222,14 @@
 			this.tickedNanos = now;
 			this.worked = false;
 			this.tick.run();
+			return 0;
 		}
-		else if (count == 0) {
-			this.parked = true;
-			if (this.ring.isEmpty() && this.running) {
-				LockSupport.parkNanos(tickNanos - (now - this.tickedNanos));
-			}
-			this.parked = false;
-		}
+		return (count > 0) ? 0 : tickNanos - (now - this.tickedNanos);
+	}
+
+	@Override
+	public boolean isWorkWaiting() {
+		return this.running && !this.ring.isEmpty();
 	}
 
 }
--- a/wire/src/main/java/io/coriandermux/wire/LinkLoop.java
+++ b/wire/src/main/java/io/coriandermux/wire/LinkLoop.java
@@ -45,6 +45,22 @@
 
 	private static final long CLOSE_WAIT_MILLIS = 2000;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private static final HostedLoop NONE_HOSTED = new HostedLoop() {
+
+		@Override
+		public long pass() {
+			return Long.MAX_VALUE;
+		}
+
+		@Override
+		public boolean isWorkWaiting() {
+			return false;
+		}
+
+	};
+
 	private final Selector selector;
 
 	private final ServerSocketChannel server;
@@ -67,6 +83,8 @@
 
 	private final Thread thread;
 
+	private HostedLoop hosted = NONE_HOSTED;
+
 	private long timersNanos;
 
 	/**
@@ -91,6 +109,23 @@
 		this.thread.setDaemon(true);
 	}
 
+	/**
+	 * Runs a loop on the thread of the links. To be called before {@link #start}.
+	 * @param loop the loop
+	 */
+	public void host(HostedLoop loop) {
+		this.hosted = loop;
+	}
+
+	/**
+	 * Lets the thread look for work of the hosted loop.
+	 */
+	public void wakeUp() {
+		if (this.waiting.compareAndSet(true, false)) {
+			this.selector.wakeup();
+		}
+	}
+
 	/**
 	 * Starts the thread.
 	 */
@@ -182,15 +217,17 @@
 	}
 
 	private void submit(Runnable command) {
+		if (Thread.currentThread() == this.thread) {
+			command.run();
+			return;
+		}
 		while (!this.ring.offer(command)) {
 			if (!this.running.get()) {
 				return;
 			}
 			LockSupport.parkNanos(RING_FULL_PARK_NANOS);
 		}
-		if (this.waiting.compareAndSet(true, false)) {
-			this.selector.wakeup();
-		}
+		wakeUp();
 	}
 
 	private void run() {
@@ -201,6 +238,9 @@
 			catch (IOException ex) {
 				this.listener.fault("selector", String.valueOf(ex.getMessage()));
 			}
+			catch (RuntimeException ex) {
+				this.listener.fault("links", "fault of the program: " + ex);
+			}
 		}
 		this.ring.drain(Runnable::run, RING_SIZE);
 		this.links.flush(now());
@@ -210,6 +250,7 @@
 	private void pass() throws IOException {
 		this.ring.drain(Runnable::run, RING_SIZE);
 		this.links.deliver(now());
+		long hostedNanos = this.hosted.pass();
 		long now = now();
 		if (now - this.timersNanos >= TIMER_NANOS) {
 			this.timersNanos = now;
@@ -217,8 +258,8 @@
 		}
 		this.links.flush(now);
 		this.waiting.set(true);
-		if (this.ring.isEmpty()) {
-			this.selector.select(this.links.isDeliveryPending() ? BUSY_WAIT_MILLIS : IDLE_WAIT_MILLIS);
+		if (this.ring.isEmpty() && hostedNanos > 0 && !this.hosted.isWorkWaiting()) {
+			this.selector.select(waitMillis(hostedNanos));
 		}
 		else {
 			this.selector.selectNow();
@@ -232,6 +273,11 @@
 		}
 	}
 
+	private long waitMillis(long hostedNanos) {
+		long limit = this.links.isDeliveryPending() ? BUSY_WAIT_MILLIS : IDLE_WAIT_MILLIS;
+		return Math.min(limit, hostedNanos / NANOS_PER_MILLI + 1);
+	}
+
 	private void serve(SelectionKey key) throws IOException {
 		if (!key.isValid()) {
 			return;
@@ -256,6 +302,11 @@
 		catch (IOException ex) {
 			this.links.closed(connection, String.valueOf(ex.getMessage()));
 		}
+		catch (RuntimeException ex) {
+			// A fault of the program at one message costs its connection, not the
+			// process.
+			this.links.closed(connection, "fault of the program: " + ex);
+		}
 	}
 
 	private void accept() throws IOException {
--- a/wire/src/test/java/io/coriandermux/wire/LinkLoopTests.java
+++ b/wire/src/test/java/io/coriandermux/wire/LinkLoopTests.java
@@ -166,6 +166,59 @@
 		}
 	}
 
+	@Example
+	void survivesAFaultOfTheProgramAtOneMessage() throws Exception {
+		this.entry.connect(GUARD, new PeerAddress(HOST, this.guard.port()));
+		this.entryEvents.expect("up guard g1 5");
+		this.guardEvents.expect("up entry e1 1");
+		this.guardEvents.faults.set(1);
+		this.entry.send(GUARD, new Demand(1));
+		this.guardEvents.expect("fault entry e1");
+		this.entryEvents.expect("fault guard g1");
+		advanceMillis(300);
+		this.entryEvents.expect("up guard g1 5");
+		this.entry.send(GUARD, new Demand(2));
+		this.guardEvents.expect("up entry e1 1");
+		this.guardEvents.expect(new Demand(2).toString());
+	}
+
+	@Example
+	void runsAHostedLoopThatAnswersOnTheThreadOfTheLinks() throws Exception {
+		LinkedBlockingQueue<Runnable> work = new LinkedBlockingQueue<>();
+		Recorder events = new Recorder();
+		try (LinkLoop host = host(work, events)) {
+			this.entry.connect(new PeerName(PeerRole.GUARD, "g2"), new PeerAddress(HOST, host.port()));
+			events.expect("up entry e1 1");
+			this.entryEvents.expect("up guard g2 5");
+			work.add(() -> host.send(ENTRY, new Credit(7)));
+			host.wakeUp();
+			this.entryEvents.expect(new Credit(7).toString());
+		}
+	}
+
+	private LinkLoop host(LinkedBlockingQueue<Runnable> work, Recorder events) throws IOException {
+		LinkLoop host = unstarted(new PeerName(PeerRole.GUARD, "g2"), 5, "secret", events);
+		host.host(new HostedLoop() {
+
+			@Override
+			public long pass() {
+				Runnable next = work.poll();
+				if (next != null) {
+					next.run();
+				}
+				return work.isEmpty() ? Long.MAX_VALUE : 0;
+			}
+
+			@Override
+			public boolean isWorkWaiting() {
+				return !work.isEmpty();
+			}
+
+		});
+		host.start();
+		return host;
+	}
+
 	@Example
 	void refusesAProcessWithAnotherSecret() throws Exception {
 		Recorder strangerEvents = new Recorder();
@@ -231,12 +284,16 @@
 	}
 
 	private LinkLoop loop(PeerName name, long incarnation, String secret, Recorder recorder) throws IOException {
+		LinkLoop loop = unstarted(name, incarnation, secret, recorder);
+		loop.start();
+		return loop;
+	}
+
+	private LinkLoop unstarted(PeerName name, long incarnation, String secret, Recorder recorder) throws IOException {
 		LinkContext context = new LinkContext(new PeerIdentity(name, new Incarnation(incarnation)),
 				new SharedSecret(secret), LinkSettings.DEFAULTS, () -> new Moment(this.nanos.get(), 0),
 				new SecureRandom(), () -> Revisions.NONE);
-		LinkLoop loop = new LinkLoop(context, new PeerAddress(HOST, 0), recorder);
-		loop.start();
-		return loop;
+		return new LinkLoop(context, new PeerAddress(HOST, 0), recorder);
 	}
 
 	private static final class CountingReader implements Runnable {
@@ -269,6 +326,8 @@
 
 		private final AtomicLong refusals = new AtomicLong();
 
+		private final AtomicLong faults = new AtomicLong();
+
 		@Override
 		public boolean up(PeerIdentity peer) {
 			return add("up " + peer.name() + " " + peer.incarnation().value());
@@ -281,6 +340,9 @@
 
 		@Override
 		public boolean message(PeerIdentity peer, Message message) {
+			if (!(message instanceof Heartbeat) && this.faults.getAndSet(0) > 0) {
+				throw new IllegalStateException("a fault for this test");
+			}
 			return add((message instanceof Heartbeat heartbeat) ? "echo " + heartbeat.echoNanos() : message.toString());
 		}
 
