--- a/http/src/main/java/io/coriandermux/http/HttpConnectionPool.java
+++ b/http/src/main/java/io/coriandermux/http/HttpConnectionPool.java
@@ -63,7 +63,7 @@
 
 	private void send(HttpConnection connection, HttpRequest request, long limitMillis, Consumer<HttpReply> answered,
 			Consumer<Boolean> failed) {
-		connection.send(request).orTimeout(limitMillis, TimeUnit.MILLISECONDS).whenComplete((reply, ex) -> {
+		connection.send(request, limitMillis).whenComplete((reply, ex) -> {
 			if (ex != null) {
 				connection.close();
 				failed.accept(true);
