--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
@@ -47,6 +47,9 @@
 	/** A value in the store cannot be read and is ignored. */
 	VALUE_MALFORMED(3007, LogLevel.WARN),
 
+	/** A fault of the program interrupted a thread that calls the store; it goes on. */
+	STORE_CALLER_FAILED(3008, LogLevel.WARN),
+
 	/** A link is up. */
 	LINK_UP(4001, LogLevel.INFO),
 
--- a/daemon/src/main/java/io/coriandermux/daemon/run/Announcer.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/Announcer.java
@@ -136,6 +136,10 @@
 				this.health.failed(ex);
 				pause(RETRY_MILLIS);
 			}
+			catch (RuntimeException ex) {
+				this.health.failed(this.thread.getName(), ex);
+				pause(RETRY_MILLIS);
+			}
 		}
 	}
 
--- a/daemon/src/main/java/io/coriandermux/daemon/run/StoreHealth.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/StoreHealth.java
@@ -42,6 +42,18 @@
 		}
 	}
 
+	/**
+	 * Notes a fault of the program in a thread that calls the store. The thread goes on,
+	 * because a process without it would lose its announcement, or learn nothing any
+	 * more, while everything else of it works.
+	 * @param thread what the thread does
+	 * @param ex the fault
+	 */
+	public void failed(String thread, RuntimeException ex) {
+		StackTraceElement[] trace = ex.getStackTrace();
+		this.log.record(LogEvent.STORE_CALLER_FAILED, thread, ex + ((trace.length > 0) ? " at " + trace[0] : ""));
+	}
+
 	/**
 	 * Returns whether the last call was answered.
 	 * @return whether it was
--- a/daemon/src/main/java/io/coriandermux/daemon/run/StoreWatch.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/StoreWatch.java
@@ -93,6 +93,10 @@
 				this.unavailable.run();
 				pause(RETRY_MILLIS);
 			}
+			catch (RuntimeException ex) {
+				this.health.failed(this.thread.getName(), ex);
+				pause(RETRY_MILLIS);
+			}
 		}
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/io/coriandermux/daemon/run/StoreCallersTests.java
@@ -0,0 +1,116 @@
+package io.coriandermux.daemon.run;
+
+import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.coriandermux.daemon.batch.MemoryStore;
+import io.coriandermux.daemon.log.EventLog;
+import io.coriandermux.daemon.log.LogEvent;
+import io.coriandermux.daemon.log.RecentEvent;
+import io.coriandermux.store.KvEntry;
+import io.coriandermux.store.KvSnapshot;
+import io.coriandermux.store.Store;
+import io.coriandermux.store.StoreException;
+import io.coriandermux.wire.SystemTime;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a process that silently loses its announcement, or learns nothing any
+ * more, because one unexpected answer of the store ended a thread.
+ */
+class StoreCallersTests {
+
+	private final EventLog log = new EventLog("entry", new SystemTime(Clock.systemUTC()));
+
+	private final StoreHealth health = new StoreHealth(this.log);
+
+	private final FaultyStore store = new FaultyStore();
+
+	@Example
+	void aWatchSurvivesAFaultOfTheProgram() throws InterruptedException, StoreException {
+		this.store.put("a/b", "v", 0, Optional.empty());
+		LinkedBlockingQueue<KvSnapshot> received = new LinkedBlockingQueue<>();
+		StoreWatch watch = new StoreWatch(this.store, "a/", 1_000, received::add, () -> {
+		}, this.health);
+		KvSnapshot first = received.poll(60, TimeUnit.SECONDS);
+		watch.close();
+		assertThat(first.entries()).extracting(KvEntry::value).containsExactly("v");
+		assertThat(faults()).hasSize(1);
+	}
+
+	@Example
+	void anAnnouncementSurvivesAFaultOfTheProgram() throws InterruptedException {
+		CountDownLatch announced = new CountDownLatch(1);
+		try (Announcer announcer = new Announcer(this.store, new KvEntry("a/self", "v", 0), 6_000, (former) -> {
+		}, announced::countDown, this.log, this.health)) {
+			announcer.start();
+			assertThat(announced.await(60, TimeUnit.SECONDS)).isTrue();
+		}
+		assertThat(faults()).hasSize(1);
+	}
+
+	private List<String> faults() {
+		return this.log.recent()
+			.stream()
+			.filter((event) -> event.number() == LogEvent.STORE_CALLER_FAILED.number())
+			.map(RecentEvent::detail)
+			.toList();
+	}
+
+	/**
+	 * A store whose first answer is a fault of the program.
+	 */
+	private static final class FaultyStore implements Store {
+
+		private final MemoryStore memory = new MemoryStore();
+
+		private final AtomicBoolean failed = new AtomicBoolean();
+
+		@Override
+		public KvSnapshot readPrefix(String prefix) {
+			if (this.failed.compareAndSet(false, true)) {
+				throw new IllegalStateException("a fault for this test");
+			}
+			return this.memory.readPrefix(prefix);
+		}
+
+		@Override
+		public KvSnapshot watch(String prefix, KvSnapshot known, long waitMillis) {
+			return this.memory.watch(prefix, known, waitMillis);
+		}
+
+		@Override
+		public long put(String key, String value, long expected, Optional<Long> lease) throws StoreException {
+			return this.memory.put(key, value, expected, lease);
+		}
+
+		@Override
+		public long delete(String key, long expected) throws StoreException {
+			return this.memory.delete(key, expected);
+		}
+
+		@Override
+		public long grantLease(long ttlMillis) {
+			return this.memory.grantLease(ttlMillis);
+		}
+
+		@Override
+		public void renewLease(long lease) {
+			this.memory.renewLease(lease);
+		}
+
+		@Override
+		public void close() {
+			this.memory.close();
+		}
+
+	}
+
+}
