--- a/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/DispatchNode.java
@@ -216,7 +216,7 @@
 	// What the work before it will not let start in time is refused at once, so that the
 	// caller can go elsewhere.
 	private void refuseIfHopeless(Batch batch, Moment now) {
-		if (batch.started() || !isOverload(batch, now)) {
+		if (batch.started()) {
 			return;
 		}
 		double waitMillis = this.drain.waitMillis(this.placer.workBefore(batch), now.nanos());
@@ -465,7 +465,6 @@
 	 * @param now the current time
 	 */
 	public void tick(Moment now) {
-		this.endpoints.observe(now.nanos());
 		for (BatchTask task : this.placer.running()) {
 			if (task.settledNanos() != 0 && now.nanos() >= task.settledNanos()) {
 				notice(NoticeKind.TASK_RETRIED, task.run().toString(), "its guard " + task.guard() + " is gone");
@@ -545,17 +544,13 @@
 				this.batches.size(), this.placer.waiting());
 	}
 
-	// While a pool has no room yet, a late answer is still better than none; once it is
-	// full, a batch that cannot meet its objective yields to those that can.
+	// While no endpoint of the pool takes work, a late answer is still better than none;
+	// once one does, a batch that cannot meet its objective yields to those that can.
 	private boolean isHopeless(Batch batch, Moment now) {
 		if (now.nanos() < batch.latestStartNanos()) {
 			return false;
 		}
-		return now.nanos() >= batch.lateStartNanos() || isOverload(batch, now);
-	}
-
-	private boolean isOverload(Batch batch, Moment now) {
-		return this.endpoints.isFull(batch.route().pool(), batch.request().tasks(), now.nanos());
+		return now.nanos() >= batch.lateStartNanos() || this.endpoints.isServing(batch.route().pool(), now.nanos());
 	}
 
 	private void answer(Batch batch, BatchAnswer answer, Moment now) {
--- a/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
@@ -1,12 +1,9 @@
 package io.coriandermux.core.dispatch;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 
@@ -34,24 +31,9 @@
 	 */
 	private static final double PREFERENCE_WEIGHT = 0.2;
 
-	/**
-	 * After a loss of power endpoints come back within about this time, in the order in
-	 * which their processes start.
-	 */
-	private static final long RAMP_UP_NANOS = 700_000_000L;
-
-	/**
-	 * Part of a pool above which work waits for a moment only: what several entries see
-	 * is up to a quarter of a second old, and tasks of 5 cores leave a tenth of an
-	 * endpoint unused.
-	 */
-	private static final double SPARE_PART = 0.25;
-
 	/** Run time on a rack away from the data, as a multiple of that near it. */
 	private final double remoteFactor;
 
-	private final Map<PoolName, Long> servingSince = new HashMap<>();
-
 	private final ToDoubleFunction<GuardId> preference;
 
 	private final SpeedScale scale = new SpeedScale();
@@ -117,42 +99,13 @@
 	}
 
 	/**
-	 * Takes note of the pools that take work now. To be called at each tick.
-	 * @param nowNanos the current time on the monotonic clock
-	 */
-	void observe(long nowNanos) {
-		Set<PoolName> serving = new HashSet<>();
-		for (PooledEndpoint endpoint : this.endpoints.values()) {
-			if (endpoint.accepts(nowNanos)) {
-				serving.add(endpoint.load().pool());
-			}
-		}
-		this.servingSince.keySet().retainAll(serving);
-		serving.forEach((pool) -> this.servingSince.putIfAbsent(pool, nowNanos));
-	}
-
-	/**
-	 * Returns whether a pool is so full that work which waits for it is overload. A pool
-	 * that has begun to take work just now is not, since more of its endpoints follow.
+	 * Returns whether some endpoint of a pool takes work now.
 	 * @param pool the pool
-	 * @param group what a task needs
 	 * @param nowNanos the current time on the monotonic clock
-	 * @return whether less than a fourth of what could run the task is free
+	 * @return whether one does
 	 */
-	boolean isFull(PoolName pool, TaskGroup group, long nowNanos) {
-		Long since = this.servingSince.get(pool);
-		if (since == null || nowNanos - since < RAMP_UP_NANOS) {
-			return false;
-		}
-		long free = 0;
-		long capacity = 0;
-		for (PooledEndpoint endpoint : this.endpoints.values()) {
-			if (endpoint.accepts(nowNanos) && endpoint.load().pool().equals(pool) && isSuitable(endpoint, group)) {
-				free += Math.max(0, endpoint.free().millicores());
-				capacity += endpoint.load().capacity().millicores();
-			}
-		}
-		return free < SPARE_PART * capacity;
+	boolean isServing(PoolName pool, long nowNanos) {
+		return inPool(pool).stream().anyMatch((endpoint) -> endpoint.accepts(nowNanos));
 	}
 
 	private static boolean isSuitable(PooledEndpoint endpoint, TaskGroup group) {
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatchBed.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatchBed.java
@@ -56,8 +56,6 @@
 		for (String guard : guards) {
 			bed.up(guard, CAPACITY, Set.of());
 		}
-		// The pool has taken work for a while.
-		bed.advance(1_000);
 		return bed;
 	}
 
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatchNodeTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatchNodeTests.java
@@ -287,40 +287,6 @@
 		assertThat(bed.verdict(caller)).isNull();
 	}
 
-	// The pattern: all processes were killed, and a crowd waits while the endpoints come
-	// back one after the other.
-	@Example
-	void keepsLateBatchesWhileThePoolComesBack() {
-		DispatchBed bed = new DispatchBed();
-		bed.node.tables(DispatchBed.tables(1, "/q/"));
-		CallerRef first = bed.submit("b1", 2);
-		CallerRef second = bed.submit("b2", 2);
-		bed.advance(500);
-		bed.up("g1", DispatchBed.CAPACITY, Set.of());
-		bed.advance(100);
-		assertThat(bed.starts()).hasSize(2);
-		assertThat(bed.verdict(first)).isNull();
-		assertThat(bed.verdict(second)).isNull();
-		bed.up("g2", DispatchBed.CAPACITY, Set.of());
-		assertThat(bed.starts()).hasSize(4);
-	}
-
-	// The pattern: wide tasks wait for one endpoint to have room while most of the pool
-	// is
-	// free, and few runs have ended yet from which a rate could be told.
-	@Example
-	void refusesNothingAsOverloadWhileMuchOfThePoolIsFree() {
-		DispatchBed bed = DispatchBed.with("g1", "g2");
-		bed.submit("b1", new TaskGroup(2, DispatchBed.NEEDS, 200, "", "", 1));
-		bed.submit("b2", new TaskGroup(1, new Amounts(1_000, 1, 0), 200, "", "", 0));
-		bed.advance(200);
-		bed.end((bed.starts("g1").size() > 1) ? "g1" : "g2", new RunId(new BatchId("b2"), 0, 0, 1), RunOutcome.DONE);
-		TaskGroup wide = new TaskGroup(1, new Amounts(8_000, 100, 0), 200, "", "", 0);
-		bed.submit("w1", wide);
-		CallerRef caller = bed.submit("w2", wide);
-		assertThat(bed.verdict(caller)).isNull();
-	}
-
 	@Example
 	void prefersTheRackOfTheData() {
 		DispatchBed bed = DispatchBed.with("g1");
