Clarify unanswered starts by the answer times seen

Cause: an order that an endpoint leaves unanswered was settled only after the timeout of the call, 150 ms, two and a half times the fixed part of the objective. A batch of eight tasks meets one such order in every third case when a twentieth of the orders is late.

Change: a guard derives a timeout from the answer times of earlier starts, as TCP does for retransmissions, between 20 ms and the timeout of the call. After it the run counts as unconfirmed: a poll shows it, or a stop is confirmed and a later poll does not show it. What proves the end of a run is unchanged. An answer that arrives after the timeout is still used.

Ruled out: a start elsewhere without the confirmed stop, which could run a task twice; a fixed shorter timeout, which a slow VM exceeds with each answer.

LateOrderTests fails without it.

--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -66,6 +66,8 @@
 
 	private final PollTracker polls = new PollTracker();
 
+	private final AnswerTimeout startTimeout;
+
 	private final SuspensionDetector suspensionDetector;
 
 	private final EndpointClock clock = new EndpointClock();
@@ -107,6 +109,7 @@
 		this.orders = orders;
 		this.entries = entries;
 		this.notices = notices;
+		this.startTimeout = new AnswerTimeout(settings.callMillis());
 		this.sessions = new EntrySessions(settings, entries);
 		this.runEndReporter = new RunEndReporter(entries);
 		this.suspensionDetector = new SuspensionDetector(settings.callMillis());
@@ -203,7 +206,12 @@
 	public void onStartAnswered(RunId run, OrderResult result, OptionalLong clockMillis, Moment now) {
 		this.nowNanos = now.nanos();
 		recordClock(clockMillis, now);
-		Optional<HeldRun> pending = this.runs.find(run).filter((held) -> held.state() == HeldRun.State.START_PENDING);
+		Optional<HeldRun> found = this.runs.find(run);
+		if (result != OrderResult.UNANSWERED) {
+			found.ifPresent((held) -> this.startTimeout.observe(now.nanos() - held.requestedNanos));
+		}
+		Optional<HeldRun> pending = found.filter((held) -> held.state() == HeldRun.State.START_PENDING
+				|| (held.state() == HeldRun.State.START_UNCONFIRMED && result != OrderResult.UNANSWERED));
 		if (pending.isEmpty()) {
 			return;
 		}
@@ -215,9 +223,7 @@
 				poll(now, this.settings.pollMillis(), false);
 			}
 			case UNANSWERED -> {
-				held.markUnconfirmed();
-				sendNotice(NoticeKind.ORDER_UNANSWERED, run.toString(),
-						"start, after " + (now.nanos() - held.requestedNanos) / NANOS_PER_MILLI + " ms");
+				markUnconfirmed(held);
 				poll(now, 0, true);
 			}
 			case NO_ROOM -> this.runs.end(held, RunOutcome.NO_ROOM);
@@ -237,6 +243,27 @@
 		}
 	}
 
+	private void markUnconfirmed(HeldRun held) {
+		held.markUnconfirmed();
+		sendNotice(NoticeKind.ORDER_UNANSWERED, held.run.toString(),
+				"start, after " + (this.nowNanos - held.requestedNanos) / NANOS_PER_MILLI + " ms");
+	}
+
+	// The state of a run whose start is answered late is clarified by a poll, long before
+	// the call itself times out. A task that has to start elsewhere does so in time.
+	private void checkPendingStarts(Moment now) {
+		long timeoutNanos = this.startTimeout.nanos();
+		List<HeldRun> overdue = this.runs.list()
+			.stream()
+			.filter((held) -> held.state() == HeldRun.State.START_PENDING
+					&& now.nanos() - held.requestedNanos >= timeoutNanos)
+			.toList();
+		if (!overdue.isEmpty()) {
+			overdue.forEach(this::markUnconfirmed);
+			poll(now, 0, true);
+		}
+	}
+
 	/**
 	 * Processes the result of a stop order.
 	 * @param run the run
@@ -422,6 +449,7 @@
 		expireSessions(now);
 		boolean pinged = this.sessions.pingIfDue(this.runs.activeEntries(), now.nanos());
 		long callNanos = this.settings.callMillis() * NANOS_PER_MILLI;
+		checkPendingStarts(now);
 		this.runs.repeatStops(now.nanos());
 		if (!this.runs.isEmpty() && this.clock.isExpired(now.nanos())) {
 			sendNotice(NoticeKind.LEASE_ENDED, String.valueOf(this.endpointIncarnation), this.runs.size()
