Use declared run times as far as they have predicted run times

Cause: after eight ends of a route its declared run times were ignored.

Change: a regression of the logarithms, with decaying weights and a prior, predicts the run time from the declaration. Its slope falls to 0 for declarations that say nothing, and it reports the spread that remains.

Ruled out: the time for which a caller waits as a predictor.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -461,7 +461,8 @@
 		if (estimate.learned()) {
 			endpoint.speed().observe(estimate.typicalNanos(), runNanos);
 		}
-		this.estimator.observe(batch.route().name(), ANY_OWNER, (long) (runNanos / endpoint.speed().slowness()));
+		this.estimator.observe(batch.route().name(), ANY_OWNER, batch.request().tasks().declaredMillis(),
+				(long) (runNanos / endpoint.speed().slowness()));
 		this.endpoints.recordOutcome(endpoint, true, now.nanos());
 	}
 
--- a/core/src/main/java/io/coriandermux/core/estimate/RunTimeEstimator.java
+++ b/core/src/main/java/io/coriandermux/core/estimate/RunTimeEstimator.java
@@ -7,8 +7,9 @@
 import io.coriandermux.core.id.RouteName;
 
 /**
- * Estimates run times per route and owner. Declared run times are often far off, so they
- * are used only until enough tasks of the same route and owner have ended.
+ * Estimates run times per route and owner. Declared run times are often far off, so once
+ * enough tasks of the same route and owner have ended, they are used only as far as they
+ * have predicted the run times of these tasks.
  */
 public final class RunTimeEstimator {
 
@@ -18,7 +19,7 @@
 	/** Upper limit of the declared run times that are used. */
 	private static final long MAX_DECLARED_MILLIS = 60_000L;
 
-	/** Observations after which the declared run time is ignored. */
+	/** Observations after which a declared run time is no longer used as it is. */
 	private static final int PRIOR_OBSERVATIONS = 8;
 
 	/** Observations between two updates of the estimate. */
@@ -34,6 +35,17 @@
 
 	private static final double LOW_QUANTILE = 0.05;
 
+	/** The 5th percentile of a normal distribution in standard deviations. */
+	private static final double LOW_QUANTILE_DEVIATIONS = -1.645;
+
+	private static final double HIGH_QUANTILE = 0.84;
+
+	/**
+	 * Standard deviation of the logarithm of run times without observations: run times of
+	 * a route vary by about a factor of two.
+	 */
+	private static final double DEFAULT_LOG_SPREAD = 0.6;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final Map<RouteOwner, RunTimeStatistics> statistics = new LinkedHashMap<>();
@@ -47,6 +59,9 @@
 	 */
 	public RunTimeEstimate estimate(RouteName route, OwnerId owner, long declaredMillis) {
 		RunTimeStatistics known = this.statistics.get(new RouteOwner(route, owner));
+		if (known != null && declaredMillis > 0 && known.regression.isLearned()) {
+			return known.predict(declaredMillis * NANOS_PER_MILLI);
+		}
 		if (known != null && known.estimate.learned()) {
 			return known.estimate;
 		}
@@ -55,12 +70,26 @@
 			priorNanos = Math.min(declaredMillis, MAX_DECLARED_MILLIS) * NANOS_PER_MILLI;
 		}
 		if (known == null) {
-			return new RunTimeEstimate(priorNanos, priorNanos, 0, false);
+			return new RunTimeEstimate(priorNanos, priorNanos, 0, DEFAULT_LOG_SPREAD, false);
 		}
 		double observedWeight = (double) known.histogram.count() / PRIOR_OBSERVATIONS;
 		double blended = Math.exp(observedWeight * Math.log(known.estimate.expectedNanos())
 				+ (1 - observedWeight) * Math.log(priorNanos));
-		return new RunTimeEstimate((long) blended, (long) blended, 0, false);
+		return new RunTimeEstimate((long) blended, (long) blended, 0, DEFAULT_LOG_SPREAD, false);
+	}
+
+	/**
+	 * Records the run time of a task with a declared run time.
+	 * @param route its route
+	 * @param owner its owner
+	 * @param declaredMillis declared run time in milliseconds, 0 if not declared
+	 * @param nanos its run time in nanoseconds, scaled to an endpoint of average speed
+	 */
+	public void observe(RouteName route, OwnerId owner, long declaredMillis, long nanos) {
+		observe(route, owner, nanos);
+		if (declaredMillis > 0) {
+			this.statistics.get(new RouteOwner(route, owner)).regression.add(declaredMillis * NANOS_PER_MILLI, nanos);
+		}
 	}
 
 	/**
@@ -88,6 +117,8 @@
 
 		private final RunTimeHistogram histogram = new RunTimeHistogram();
 
+		private final DeclaredTimeRegression regression = new DeclaredTimeRegression();
+
 		private RunTimeEstimate estimate;
 
 		private void add(long nanos) {
@@ -96,10 +127,24 @@
 			if (count <= PRIOR_OBSERVATIONS || count % REFRESH_INTERVAL == 0) {
 				this.estimate = new RunTimeEstimate((long) this.histogram.trimmedMean(TRIMMED_MEAN_FRACTION),
 						(long) this.histogram.quantile(MEDIAN_QUANTILE), (long) this.histogram.quantile(LOW_QUANTILE),
-						count >= PRIOR_OBSERVATIONS);
+						logSpread(), count >= PRIOR_OBSERVATIONS);
 			}
 		}
 
+		// In a normal distribution, the 84th percentile is one standard deviation above
+		// the median.
+		private double logSpread() {
+			return Math.log(this.histogram.quantile(HIGH_QUANTILE) / this.histogram.quantile(MEDIAN_QUANTILE));
+		}
+
+		private RunTimeEstimate predict(double declaredNanos) {
+			double median = this.regression.predictNanos(declaredNanos);
+			double spread = this.regression.logSpread();
+			double low = median * Math.exp(LOW_QUANTILE_DEVIATIONS * spread);
+			double mean = median * Math.exp(spread * spread / 2);
+			return new RunTimeEstimate((long) mean, (long) median, (long) low, spread, true);
+		}
+
 	}
 
 }
