Choose endpoints by the probability to meet the objective

Cause: under heavy load a task started at whichever endpoint had room, also where it was sure to be late, and held cores there that tasks in time could have used.

Change: ResponseObjective gives the probability that a task is in time at an endpoint, for a run time that is known only as a distribution and an objective that grows with it. Only endpoints near the best probability are considered. If a full endpoint promises 0.2 more than the free ones, the task waits for it.

SlowEndpointTests fails without it.

--- a/core/src/main/java/io/coriandermux/core/dispatch/Batch.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/Batch.java
@@ -34,6 +34,8 @@
 
 	private final long expectedNanos;
 
+	private final ResponseObjective objective;
+
 	private final List<BatchTask> tasks = new ArrayList<>();
 
 	private final Set<CallerRef> callers = new LinkedHashSet<>();
@@ -53,6 +55,7 @@
 		this.latestStartNanos = times.latestStartNanos();
 		this.lastUsefulStartNanos = times.lastUsefulStartNanos();
 		this.expectedNanos = times.expectedNanos();
+		this.objective = times.objective();
 		for (int index = 0; index < request.tasks().count(); index++) {
 			this.tasks.add(new BatchTask(this, index));
 		}
@@ -91,6 +94,16 @@
 		return this.expectedNanos;
 	}
 
+	/**
+	 * Returns the probability that a task that starts now meets the objective.
+	 * @param slowness run time at the endpoint relative to average speed
+	 * @param startNanos time of the start on the monotonic clock
+	 * @return the probability
+	 */
+	double probabilityOnTime(double slowness, long startNanos) {
+		return this.objective.probabilityOnTime(slowness, startNanos - this.arrivedNanos);
+	}
+
 	List<BatchTask> tasks() {
 		return this.tasks;
 	}
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -239,8 +239,11 @@
 		long latestStart = now.nanos() + objective - fastest - this.settings.overheadMillis() * NANOS_PER_MILLI;
 		long deadline = now.nanos() + (request.waitMillis() - this.settings.replyMarginMillis()) * NANOS_PER_MILLI;
 		long lastUsefulStart = latestStart + (USEFUL_TIME_FACTOR - 1) * objective;
+		ResponseObjective responseObjective = new ResponseObjective(route.slowdownFactor(),
+				(route.extraMillis() - this.settings.overheadMillis()) * NANOS_PER_MILLI, estimate.typicalNanos(),
+				estimate.logSpread());
 		return new BatchTimes(now.nanos(), deadline, Math.min(latestStart, deadline),
-				Math.min(lastUsefulStart, deadline), expected);
+				Math.min(lastUsefulStart, deadline), expected, responseObjective);
 	}
 
 	/**
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchTimes.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchTimes.java
@@ -11,8 +11,9 @@
  * @param lastUsefulStartNanos latest start of the tasks there with which the answer is
  * still useful to the caller
  * @param expectedNanos expected run time of a task
+ * @param objective the objective and the run time that it depends on
  */
 record BatchTimes(long arrivedNanos, long deadlineNanos, long latestStartNanos, long lastUsefulStartNanos,
-		long expectedNanos) {
+		long expectedNanos, ResponseObjective objective) {
 
 }
--- a/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
@@ -1,5 +1,6 @@
 package io.coriandermux.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,22 @@
 	 */
 	private static final double PREFERENCE_WEIGHT = 0.2;
 
+	/**
+	 * Time after which a task that waits is expected to start at an endpoint that is full
+	 * now. In a pool with a hundred running tasks of 300 ms, one ends every 3 ms, and
+	 * several batches wait.
+	 */
+	private static final long TYPICAL_WAIT_NANOS = 20_000_000;
+
+	/**
+	 * A task waits only if that raises the probability to meet the objective by more than
+	 * this.
+	 */
+	private static final double MIN_GAIN_OF_WAITING = 0.2;
+
+	/** Difference of probabilities below which endpoints are chosen by cost. */
+	private static final double PROBABILITY_TOLERANCE = 0.1;
+
 	/** Run time on a remote rack as a multiple of that on the rack of the data. */
 	private final double remoteFactor;
 
@@ -118,24 +135,41 @@
 	}
 
 	/**
-	 * Chooses the endpoint with the lowest cost for a task, which is its expected run
-	 * time there adjusted by load and preference.
+	 * Chooses the endpoint with the lowest cost for a task. Only endpoints are considered
+	 * where the task is nearly as likely to meet the objective of its batch as at the
+	 * best one.
 	 * @param task the task
 	 * @param nowNanos the current time on the monotonic clock
-	 * @return the endpoint, or empty if none has enough free capacity now
+	 * @return the endpoint, or empty if none has enough free capacity now, or if the task
+	 * is more likely to meet the objective when it waits for one of the others
 	 */
 	Optional<PooledEndpoint> choose(BatchTask task, long nowNanos) {
 		TaskGroup group = task.batch.request().tasks();
-		PooledEndpoint best = null;
-		double bestCost = Double.MAX_VALUE;
+		List<PooledEndpoint> free = new ArrayList<>();
+		double bestNow = 0;
+		double bestLater = 0;
 		for (PooledEndpoint endpoint : this.endpoints.values()) {
-			if (!endpoint.accepts(nowNanos) || !endpoint.load().pool().equals(task.batch.route().pool())
-					|| !endpoint.free().fits(group.needs()) || !isSuitable(endpoint, group)
-					|| task.hasFailedAt(endpoint.guard()) || isAtBatchLimit(task, endpoint, group)) {
+			if (!canRun(endpoint, task, nowNanos)) {
 				continue;
 			}
+			double factor = runTimeFactor(endpoint, group);
+			if (endpoint.free().fits(group.needs())) {
+				free.add(endpoint);
+				bestNow = Math.max(bestNow, task.batch.probabilityOnTime(factor, nowNanos));
+			}
+			else {
+				bestLater = Math.max(bestLater, task.batch.probabilityOnTime(factor, nowNanos + TYPICAL_WAIT_NANOS));
+			}
+		}
+		if (bestLater - bestNow > MIN_GAIN_OF_WAITING) {
+			return Optional.empty();
+		}
+		PooledEndpoint best = null;
+		double bestCost = Double.MAX_VALUE;
+		for (PooledEndpoint endpoint : free) {
+			double probability = task.batch.probabilityOnTime(runTimeFactor(endpoint, group), nowNanos);
 			double cost = cost(endpoint, group);
-			if (cost < bestCost) {
+			if (cost < bestCost && bestNow - probability <= PROBABILITY_TOLERANCE) {
 				best = endpoint;
 				bestCost = cost;
 			}
@@ -143,11 +177,23 @@
 		return Optional.ofNullable(best);
 	}
 
-	private double cost(PooledEndpoint endpoint, TaskGroup group) {
+	private static boolean canRun(PooledEndpoint endpoint, BatchTask task, long nowNanos) {
+		TaskGroup group = task.batch.request().tasks();
+		return endpoint.accepts(nowNanos) && endpoint.load().pool().equals(task.batch.route().pool())
+				&& isSuitable(endpoint, group) && !task.hasFailedAt(endpoint.guard())
+				&& !isAtBatchLimit(task, endpoint, group);
+	}
+
+	// The run time at the endpoint as a multiple of that at average speed.
+	private double runTimeFactor(PooledEndpoint endpoint, TaskGroup group) {
 		boolean remote = !group.rack().isEmpty() && !endpoint.load().labels().contains(group.rack());
+		return endpoint.speed().slowness() * (remote ? this.remoteFactor : 1);
+	}
+
+	private double cost(PooledEndpoint endpoint, TaskGroup group) {
 		double usedFraction = 1
 				- (double) endpoint.free().millicores() / Math.max(1, endpoint.load().capacity().millicores());
-		return endpoint.speed().slowness() * (remote ? this.remoteFactor : 1)
+		return runTimeFactor(endpoint, group)
 				* (1 + LOAD_WEIGHT * usedFraction + PREFERENCE_WEIGHT * endpoint.preference());
 	}
 
