Place shorter batches first, with aging

Cause: waiting batches were ordered by latest start. At overload that serves each one just when it is about to be late.

Change: batches are ordered by arrival plus five times their expected run time, started ones first as before. A long batch is passed only by shorter ones that arrive within five times the difference of their run times.

--- a/core/src/main/java/io/coriandermux/core/dispatch/Batch.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/Batch.java
@@ -1,7 +1,6 @@
 package io.coriandermux.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -13,10 +12,12 @@
  */
 final class Batch {
 
-	/** Orders started batches first, then by latest start, then by arrival. */
-	static final Comparator<Batch> BY_URGENCY = Comparator.comparing((Batch batch) -> !batch.started)
-		.thenComparingLong((batch) -> batch.latestStartNanos)
-		.thenComparingLong((batch) -> batch.sequence);
+	/**
+	 * A batch passes a longer one that arrived earlier by less than this multiple of the
+	 * difference of their run times. Short work then hardly waits behind long work, and
+	 * long work does not starve.
+	 */
+	private static final int AGING_FACTOR = 5;
 
 	private final BatchRequest request;
 
@@ -28,6 +29,8 @@
 
 	private final long deadlineNanos;
 
+	private final long urgencyNanos;
+
 	private final long latestStartNanos;
 
 	private final long lastUsefulStartNanos;
@@ -52,6 +55,7 @@
 		this.sequence = sequence;
 		this.arrivedNanos = times.arrivedNanos();
 		this.deadlineNanos = times.deadlineNanos();
+		this.urgencyNanos = times.arrivedNanos() + AGING_FACTOR * times.expectedNanos();
 		this.latestStartNanos = times.latestStartNanos();
 		this.lastUsefulStartNanos = times.lastUsefulStartNanos();
 		this.expectedNanos = times.expectedNanos();
@@ -62,6 +66,19 @@
 		this.unfinishedTasks = this.tasks.size();
 	}
 
+	/**
+	 * Orders started batches first, then by arrival and expected run time.
+	 * @param other another batch
+	 * @return a negative number if this batch is more urgent, 0 if it is the same
+	 */
+	int compareUrgency(Batch other) {
+		if (this.started != other.started) {
+			return this.started ? -1 : 1;
+		}
+		int byUrgency = Long.compare(this.urgencyNanos, other.urgencyNanos);
+		return (byUrgency != 0) ? byUrgency : Long.compare(this.sequence, other.sequence);
+	}
+
 	BatchId id() {
 		return this.request.id();
 	}
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
@@ -32,7 +32,7 @@
 
 	private final Consumer<Notice> notices;
 
-	private final TreeSet<Batch> waiting = new TreeSet<>(Batch.BY_URGENCY);
+	private final TreeSet<Batch> waiting = new TreeSet<>(Batch::compareUrgency);
 
 	private final Map<RunId, BatchTask> runs = new LinkedHashMap<>();
 
