Predict waits by the capacity that an entry holds

Cause: the wait of a batch was predicted by the rate at which runs had ended in the last 0.7 s.

Change: the runs in progress of an entry complete work at a known rate. The queued work is divided by it.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -61,8 +61,6 @@
 
 	private final BatchRunTimes runTimes = new BatchRunTimes();
 
-	private final DrainRate drainRate = new DrainRate();
-
 	private final Map<BatchId, Batch> batches = new LinkedHashMap<>();
 
 	private final BatchPlacer placer;
@@ -220,10 +218,9 @@
 		if (batch.isStarted()) {
 			return;
 		}
-		double waitMillis = this.drainRate.predictWaitMillis(this.placer.queuedWorkBefore(batch), now.nanos());
+		double waitMillis = this.placer.predictWaitMillis(batch);
 		if (now.nanos() + waitMillis * NANOS_PER_MILLI > batch.latestStartNanos()) {
-			long retryAfter = Math.max(RETRY_AFTER_MILLIS,
-					(long) this.drainRate.predictWaitMillis(this.placer.queuedWorkBefore(null), now.nanos()));
+			long retryAfter = Math.max(RETRY_AFTER_MILLIS, (long) this.placer.predictWaitMillis(null));
 			answer(batch, new BatchAnswer(BatchVerdict.OVERLOADED,
 					"the work before it takes " + (long) waitMillis + " ms, of which "
 							+ (batch.latestStartNanos() - now.nanos()) / NANOS_PER_MILLI + " ms are left",
@@ -410,7 +407,6 @@
 		}
 		BatchTask task = found.get();
 		Batch batch = task.batch;
-		this.drainRate.addRun(batch.request().tasks().needs().millicores(), ended.runMillis(), now.nanos());
 		switch (ended.outcome()) {
 			case DONE -> {
 				task.markDone(endpoint, ended.runMillis() * NANOS_PER_MILLI);
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
@@ -36,6 +36,13 @@
 
 	private final Map<RunId, BatchTask> runs = new LinkedHashMap<>();
 
+	/**
+	 * Work at average speed that the placed runs complete per millisecond, in millicores
+	 * times milliseconds. While all endpoints are full, this is the share of this entry
+	 * in the pool.
+	 */
+	private double drainRate;
+
 	BatchPlacer(EndpointTable endpoints, GuardChannel guards, Consumer<Notice> notices) {
 		this.endpoints = endpoints;
 		this.guards = guards;
@@ -85,6 +92,7 @@
 			return Optional.empty();
 		}
 		this.runs.remove(run);
+		this.drainRate = this.runs.isEmpty() ? 0 : this.drainRate - task.drainRate();
 		return Optional.of(task);
 	}
 
@@ -102,19 +110,19 @@
 	}
 
 	/**
-	 * Returns the work of the batches that wait ahead of one of them.
+	 * Predicts how long a batch waits for those ahead of it.
 	 * @param last the batch, whose own work is excluded; null for the work of all batches
-	 * @return the work in millicores times milliseconds
+	 * @return the time in milliseconds, 0 if no run is placed
 	 */
-	double queuedWorkBefore(Batch last) {
+	double predictWaitMillis(Batch last) {
 		double work = 0;
 		for (Batch batch : this.waiting) {
 			if (batch == last) {
-				return work;
+				break;
 			}
 			work += queuedWork(batch);
 		}
-		return work;
+		return (this.drainRate > 0) ? work / this.drainRate : 0;
 	}
 
 	private static double queuedWork(Batch batch) {
@@ -176,8 +184,10 @@
 		}
 		ResourceAmounts needs = batch.request().tasks().needs();
 		ResourceAmounts free = endpoint.free();
-		RunId run = task.place(endpoint.guard(), now.nanos());
+		double drained = needs.millicores() / endpoint.speed().slowness();
+		RunId run = task.place(endpoint.guard(), drained, now.nanos());
 		this.runs.put(run, task);
+		this.drainRate += drained;
 		endpoint.health().onTaskPlaced();
 		long order = endpoint.addOrder(needs);
 		this.guards.send(endpoint.guard(), new StartRun(run, batch.request().spec(), needs, order));
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
@@ -43,6 +43,8 @@
 
 	private long certainEndNanos;
 
+	private double drainRate;
+
 	private long runNanos;
 
 	private PooledEndpoint ranAt;
@@ -64,6 +66,14 @@
 		return this.guard;
 	}
 
+	/**
+	 * Returns the work at average speed that the run completes per millisecond.
+	 * @return the work in millicores times milliseconds
+	 */
+	double drainRate() {
+		return this.drainRate;
+	}
+
 	int failures() {
 		return this.failures;
 	}
@@ -88,7 +98,8 @@
 		this.certainEndNanos = 0;
 	}
 
-	RunId place(GuardId target, long nowNanos) {
+	RunId place(GuardId target, double drained, long nowNanos) {
+		this.drainRate = drained;
 		this.state = State.PLACED;
 		this.attempt++;
 		this.guard = target;
