Let batches that wait by choice hold up no others

Cause: a batch of which a task waits for a faster endpoint was taken for one without room, and all batches with at least its needs were skipped, although endpoints were free that suited them.

Change: needs are blocked only if no endpoint of the pool has room. At most 16 batches are passed in one call, which bounds its cost.

SlowEndpointTests.aStartedBatchThatWaitsForAFastEndpointDoesNotHoldUpAShortOne fails without it.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
@@ -26,6 +26,12 @@
 
 	private static final int PERCENT = 100;
 
+	/**
+	 * Batches that may be passed in one call because they wait for another endpoint. The
+	 * limit bounds the cost of a call, which looks at all endpoints for each of them.
+	 */
+	private static final int MAX_WAITING_BY_CHOICE = 16;
+
 	private final EndpointTable endpoints;
 
 	private final GuardChannel guards;
@@ -133,7 +139,8 @@
 	/**
 	 * Sends waiting tasks to guards while endpoints have free capacity. Batches that are
 	 * not started and past their latest start come last. A batch that needs at least as
-	 * much as one that could not be placed is skipped.
+	 * much as one for which no endpoint has room is skipped. Batches that wait although
+	 * an endpoint has room do not hold up the others.
 	 * @param now the current time
 	 */
 	void place(Moment now) {
@@ -141,6 +148,7 @@
 			return;
 		}
 		List<ResourceAmounts> blockedNeeds = new ArrayList<>();
+		int waitingByChoice = 0;
 		List<Batch> ordered = new ArrayList<>();
 		this.waiting.stream().filter((batch) -> !isPastLatestStart(batch, now)).forEach(ordered::add);
 		this.waiting.stream().filter((batch) -> isPastLatestStart(batch, now)).forEach(ordered::add);
@@ -149,9 +157,15 @@
 			if (blockedNeeds.stream().anyMatch((smaller) -> needs.fits(smaller))) {
 				continue;
 			}
-			if (!place(batch, now)) {
+			if (place(batch, now)) {
+				continue;
+			}
+			if (!this.endpoints.hasRoom(batch.route().pool(), needs, now.nanos())) {
 				blockedNeeds.add(needs);
 			}
+			else if (++waitingByChoice >= MAX_WAITING_BY_CHOICE) {
+				return;
+			}
 		}
 	}
 
--- a/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/EndpointTable.java
@@ -13,6 +13,7 @@
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.PoolName;
 import io.coriandermux.core.outlier.OutlierEjection;
+import io.coriandermux.core.run.ResourceAmounts;
 
 /**
  * The endpoints of an entry, and the selection of an endpoint for a task.
@@ -129,6 +130,20 @@
 		return inPool(pool).stream().anyMatch((endpoint) -> endpoint.accepts(nowNanos));
 	}
 
+	/**
+	 * Checks whether any endpoint of a pool accepts runs and has free capacity.
+	 * @param pool the pool
+	 * @param needs the needs of a run
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return whether one does
+	 */
+	boolean hasRoom(PoolName pool, ResourceAmounts needs, long nowNanos) {
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> endpoint.accepts(nowNanos) && endpoint.load().pool().equals(pool)
+					&& endpoint.free().fits(needs));
+	}
+
 	private static boolean isSuitable(PooledEndpoint endpoint, TaskGroup group) {
 		return endpoint.load().capacity().fits(group.needs())
 				&& (group.label().isEmpty() || endpoint.load().labels().contains(group.label()));
--- a/core/src/test/java/io/coriandermux/core/dispatch/SlowEndpointTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/SlowEndpointTests.java
@@ -47,6 +47,29 @@
 		assertThat(this.fixture.starts("slow")).anyMatch((run) -> run.batch().value().equals("short"));
 	}
 
+	@Example
+	void aLongTaskThatWaitsForAFastEndpointDoesNotHoldUpAShortOne() {
+		learnSpeeds();
+		reportFree("fast", NO_ROOM);
+		submit("long", 60_000);
+		this.fixture.advance(20);
+		reportFree("slow", NO_ROOM);
+		submit("short", 20);
+		reportFree("slow", DispatcherFixture.CAPACITY);
+		assertThat(this.fixture.starts("slow")).anyMatch((run) -> run.batch().value().equals("short"))
+			.noneMatch((run) -> run.batch().value().equals("long"));
+	}
+
+	@Example
+	void aStartedBatchThatWaitsForAFastEndpointDoesNotHoldUpAShortOne() {
+		learnSpeeds();
+		reportFree("fast", DispatcherFixture.NEEDS);
+		this.fixture.submit("long", new TaskGroup(2, DispatcherFixture.NEEDS, 60_000, "", "", 0));
+		assertThat(this.fixture.starts("fast")).anyMatch((run) -> run.batch().value().equals("long"));
+		submit("short", 20);
+		assertThat(this.fixture.starts("slow")).anyMatch((run) -> run.batch().value().equals("short"));
+	}
+
 	// Each batch has a task at both endpoints, which shows how their speeds differ.
 	private void learnSpeeds() {
 		for (int i = 0; i < 40; i++) {
