--- a/cli/src/main/java/io/coriandermux/cli/CoriandermuxCommand.java
+++ b/cli/src/main/java/io/coriandermux/cli/CoriandermuxCommand.java
@@ -10,7 +10,7 @@
 		footer = "Exit codes are explained in docs/operators.md.",
 		subcommands = { RoutesCommand.class, PoolsCommand.class, AuditCommand.class, JobCommand.class,
 				StatusCommand.class, ExplainCommand.class, FailuresCommand.class, EventsCommand.class,
-				DrainCommand.class, TopCommand.class, BenchCommand.class })
+				DrainCommand.class, TopCommand.class, SummarizeLogCommand.class, BenchCommand.class })
 final class CoriandermuxCommand {
 
 	private final CliContext context;
