--- a/bench/src/main/java/io/coriandermux/bench/batch/BatchOutcomes.java
+++ b/bench/src/main/java/io/coriandermux/bench/batch/BatchOutcomes.java
@@ -5,7 +5,7 @@
 import io.coriandermux.core.id.Moment;
 
 /**
- * What became of the batches of a run.
+ * Outcomes of the batches of a run.
  */
 final class BatchOutcomes {
 
--- a/bench/src/main/java/io/coriandermux/bench/batch/BatchSimulation.java
+++ b/bench/src/main/java/io/coriandermux/bench/batch/BatchSimulation.java
@@ -63,7 +63,7 @@
 
 	/**
 	 * Runs the load to its end.
-	 * @return what became of the batches
+	 * @return the outcomes of the batches
 	 */
 	BatchOutcomes run() {
 		for (int i = 0; i < this.load.endpoints().size(); i++) {
--- a/bench/src/main/java/io/coriandermux/bench/batch/ReferenceSimulation.java
+++ b/bench/src/main/java/io/coriandermux/bench/batch/ReferenceSimulation.java
@@ -65,7 +65,7 @@
 	/**
 	 * Runs the load to its end.
 	 * @param policy the policy
-	 * @return what became of the batches
+	 * @return the outcomes of the batches
 	 */
 	BatchOutcomes run(Policy policy) {
 		this.outcomes.arrivals()
--- a/cli/src/main/java/io/coriandermux/cli/BatchLogSummary.java
+++ b/cli/src/main/java/io/coriandermux/cli/BatchLogSummary.java
@@ -17,7 +17,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * Summarizes the events of batches in the logs of entries and guards: what became of the
+ * Summarizes the events of batches in the logs of entries and guards: the outcomes of the
  * batches and orders, where the time of answered batches went, and when processes started
  * or were lost.
  */
--- a/cli/src/main/java/io/coriandermux/cli/SummarizeLogCommand.java
+++ b/cli/src/main/java/io/coriandermux/cli/SummarizeLogCommand.java
@@ -12,7 +12,7 @@
  * Summarizes the events of batches in logs.
  */
 @Command(name = "summarize-log", mixinStandardHelpOptions = true,
-		description = "Summarizes what became of the batches in logs of entries and guards.")
+		description = "Summarizes the outcomes of batches in logs of entries and guards.")
 final class SummarizeLogCommand implements Callable<Integer> {
 
 	@Mixin
