Reproduce runs that the first entry does not know to be abandoned

The model has callers whose connection is half open, callers that wait 1.5 s as on the sites, requests that lie unread while an entry stands still, with a disconnect that is told late, and entries that are back within 1.3 s. The callers of the model also submit again after an unfinished batch, as the platform's do.

--- a/core/src/test/java/io/coriandermux/core/model/FaultPlan.java
+++ b/core/src/test/java/io/coriandermux/core/model/FaultPlan.java
@@ -29,6 +29,14 @@
 
 	private static final long MIN_PAUSE_MILLIS = 200;
 
+	private static final long SHORT_WAIT_MILLIS = 1_500;
+
+	private static final long MAX_DISCONNECT_DELAY_MILLIS = 3_000;
+
+	private static final long MIN_RESTART_MILLIS = 20;
+
+	private static final long RESUBMIT_MILLIS = 1_300;
+
 	private static final int MAX_SENDS_BEFORE_PAUSE = 6;
 
 	private static final int SLOTS = 3;
@@ -58,6 +66,9 @@
 		this.scale = 1 + this.random.nextInt(MAX_SCALE);
 		this.model = new ClusterModel(this.random.nextLong(), 2 + this.random.nextInt(2), 2 + this.random.nextInt(3),
 				SLOTS);
+		if (this.faults.contains(ModelFault.UNREAD_REQUESTS)) {
+			this.model.callers().setWait(SHORT_WAIT_MILLIS, () -> this.random.nextLong(MAX_DISCONNECT_DELAY_MILLIS));
+		}
 	}
 
 	// Few kinds at a time leave most runs alive for long enough to meet the next fault.
@@ -135,6 +146,10 @@
 			case LATE_TICK -> guard.delayTicks(50 + this.random.nextLong(600));
 			case ENDPOINT_RESTART -> restart(guard);
 			case MUTE_ENDPOINT -> mute(guard.endpoint());
+			case HALF_OPEN_CALLERS -> this.model.callers().leaveHalfOpen(entry);
+			case UNREAD_REQUESTS -> entry.pause(pauseMillis() + this.random.nextLong(MAX_PAUSE_MILLIS), true);
+			case QUICK_ENTRY_RESTART ->
+				restart(entry, MIN_RESTART_MILLIS + this.random.nextLong(RESUBMIT_MILLIS - MIN_RESTART_MILLIS));
 			default -> {
 				// Faults of single orders are drawn with each order.
 			}
--- a/core/src/test/java/io/coriandermux/core/model/ModelCallers.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelCallers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.coriandermux.core.dispatch.BatchAnswer;
@@ -15,8 +16,9 @@
 import io.coriandermux.core.run.BatchId;
 
 /**
- * Callers, one for each batch. A caller whose connection breaks submits its batch again
- * under the same id, to any entry.
+ * Callers, one for each batch. A caller whose connection breaks, or that receives no
+ * answer or one that leaves its batch unfinished, submits its batch again under the same
+ * id, to any entry.
  */
 final class ModelCallers {
 
@@ -34,6 +36,10 @@
 
 	private long lastCaller;
 
+	private long waitMillis = WAIT_MILLIS;
+
+	private LongSupplier disconnectDelayMillis = () -> 0;
+
 	private int completed;
 
 	private int submitted;
@@ -52,10 +58,22 @@
 		return this.completed;
 	}
 
+	/**
+	 * Sets how long callers wait for an answer. A caller that has waited that long closes
+	 * its connection and submits its batch again.
+	 * @param millis the time in milliseconds
+	 * @param delayMillis returns the time after which the entry is told that a caller has
+	 * given up, in milliseconds
+	 */
+	void setWait(long millis, LongSupplier delayMillis) {
+		this.waitMillis = millis;
+		this.disconnectDelayMillis = delayMillis;
+	}
+
 	void submit(ModelEntry entry, String id, int tasks, long runMillis) {
 		this.submitted++;
 		submit(entry, new BatchRequest(new BatchId(id), String.valueOf(runMillis),
-				new TaskGroup(tasks, ModelEndpoint.NEEDS, runMillis, "", "", 0), WAIT_MILLIS, Optional.empty()));
+				new TaskGroup(tasks, ModelEndpoint.NEEDS, runMillis, "", "", 0), this.waitMillis, Optional.empty()));
 	}
 
 	private void submit(ModelEntry entry, BatchRequest request) {
@@ -68,6 +86,22 @@
 		this.trace.add("callers", "submit " + request.id().value() + " to " + entry.name());
 		this.pending.put(caller, new PendingBatch(entry, request));
 		entry.submit(caller, request);
+		long submittedTo = entry.life();
+		this.clock.afterMillis(request.waitMillis(), () -> giveUp(caller, entry, submittedTo));
+	}
+
+	private void giveUp(CallerRef caller, ModelEntry entry, long submittedTo) {
+		PendingBatch batch = this.pending.remove(caller);
+		if (batch == null) {
+			return;
+		}
+		this.trace.add("callers", "FAULT no answer to " + batch.request().id().value() + " from " + entry.name());
+		resubmit(batch.request(), RESUBMIT_MILLIS);
+		this.clock.afterMillis(this.disconnectDelayMillis.getAsLong(), () -> {
+			if (entry.life() == submittedTo) {
+				entry.onCallerDisconnected(caller);
+			}
+		});
 	}
 
 	private void resubmit(BatchRequest request, long delayMillis) {
@@ -82,6 +116,14 @@
 		remove(entry).forEach((caller) -> entry.onCallerDisconnected(caller));
 	}
 
+	/**
+	 * Makes all callers of an entry give up without a sign that reaches the entry.
+	 * @param entry the entry
+	 */
+	void leaveHalfOpen(ModelEntry entry) {
+		remove(entry);
+	}
+
 	void onEntryKilled(ModelEntry entry) {
 		remove(entry);
 	}
@@ -114,6 +156,9 @@
 		else if (answer.verdict() == BatchVerdict.UNAVAILABLE) {
 			resubmit(batch.request(), answer.retryAfterMillis());
 		}
+		else if (answer.verdict() == BatchVerdict.UNFINISHED) {
+			resubmit(batch.request(), RESUBMIT_MILLIS);
+		}
 	}
 
 	private record PendingBatch(ModelEntry entry, BatchRequest request) {
--- a/core/src/test/java/io/coriandermux/core/model/ModelFault.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelFault.java
@@ -44,6 +44,18 @@
 	ENDPOINT_RESTART,
 
 	/** An endpoint answers no order for 0.2 to 2 s. */
-	MUTE_ENDPOINT
+	MUTE_ENDPOINT,
+
+	/** The callers of an entry give up, and the entry is not told. */
+	HALF_OPEN_CALLERS,
+
+	/**
+	 * An entry stands still with unread requests. Callers wait 1.5 s, and entries are
+	 * told up to 3 s late that a caller has given up.
+	 */
+	UNREAD_REQUESTS,
+
+	/** An entry is killed and started again within 1.3 s. */
+	QUICK_ENTRY_RESTART
 
 }
--- a/core/src/test/java/io/coriandermux/core/model/RandomFaultModelTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/RandomFaultModelTests.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import net.jqwik.api.Example;
+import net.jqwik.api.Tag;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -38,7 +39,7 @@
 	void noTaskRunsTwiceUnderSingleFaults() {
 		for (ModelFault fault : EnumSet.of(ModelFault.CALLERS_RESET, ModelFault.SILENT_LINK, ModelFault.ENTRY_RESTART,
 				ModelFault.GUARD_RESTART, ModelFault.ENTRY_PAUSE, ModelFault.GUARD_PAUSE, ModelFault.LATE_TICK,
-				ModelFault.LATE_STARTS, ModelFault.LATE_ORDERS)) {
+				ModelFault.LATE_STARTS, ModelFault.LATE_ORDERS, ModelFault.QUICK_ENTRY_RESTART)) {
 			assertNoTaskRunsTwice(1, fault);
 		}
 	}
@@ -80,6 +81,20 @@
 		assertNoTaskRunsTwice(2, ModelFault.ENDPOINT_RESTART);
 	}
 
+	// Issue 31, hypothesis 2.
+	@Example
+	@Tag("known-red")
+	void noTaskRunsTwiceWhenCallersGiveUpUnnoticed() {
+		assertNoTaskRunsTwice(1, ModelFault.HALF_OPEN_CALLERS);
+	}
+
+	// Issue 31, hypothesis 3.
+	@Example
+	@Tag("known-red")
+	void noTaskRunsTwiceWhenRequestsLieUnread() {
+		assertNoTaskRunsTwice(1, ModelFault.UNREAD_REQUESTS);
+	}
+
 	// All hypotheses together.
 	@Example
 	void noTaskRunsTwiceUnderAllFaults() {
--- /dev/null
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
@@ -0,0 +1,196 @@
+package io.coriandermux.core.model;
+
+import java.util.function.Consumer;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.Tag;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Sequences that may lead to two runs of one task although no guard or endpoint fails to
+ * stop a run (issue 31): the entry that has the batch does not learn in time that the
+ * caller has submitted it to another one, or takes a run for ended that goes on.
+ */
+class TwoRunsAfterResubmissionTests {
+
+	private static final String JOB = "job";
+
+	/** Time that the callers of the sites wait. */
+	private static final long SHORT_WAIT_MILLIS = 1_500;
+
+	private static final long NEVER_MILLIS = 60_000;
+
+	// Hypothesis 2: the caller's connection is half open, so that the entry confirms the
+	// session of a run whose caller has submitted the batch to another entry.
+	@Example
+	@Tag("known-red")
+	void aBatchWhoseCallerHasGivenUpUnnoticedRunsAtOneEntryOnly() {
+		for (long ageMillis = 20; ageMillis <= 1_500; ageMillis += 40) {
+			ClusterModel cluster = ClusterModel.small();
+			submitJob(cluster, 4_000);
+			cluster.advance(ageMillis);
+			cluster.callers().leaveHalfOpen(cluster.entry(0));
+			cluster.advance(6_000);
+			assertNoTaskRanTwice(cluster, "half open after " + ageMillis + " ms");
+		}
+	}
+
+	// Hypothesis 3: an entry reads a request after its caller has given up, and learns of
+	// that later still.
+	@Example
+	@Tag("known-red")
+	void aRequestThatLayUnreadUntilItsCallerGaveUpStartsNothing() {
+		for (long pauseMillis = 200; pauseMillis <= 2_800; pauseMillis += 100) {
+			assertOneRunOfAnUnreadRequest(pauseMillis, NEVER_MILLIS);
+		}
+	}
+
+	// Hypothesis 3, with a disconnect that the entry reads right after the request.
+	@Example
+	void aRequestThatIsReadTogetherWithTheDisconnectOfItsCallerIsStoppedAtOnce() {
+		for (long pauseMillis = 200; pauseMillis <= 3_500; pauseMillis += 100) {
+			assertOneRunOfAnUnreadRequest(pauseMillis, 0);
+		}
+	}
+
+	private static void assertOneRunOfAnUnreadRequest(long pauseMillis, long disconnectDelayMillis) {
+		ClusterModel cluster = ClusterModel.small();
+		cluster.callers().setWait(SHORT_WAIT_MILLIS, () -> disconnectDelayMillis);
+		cluster.entry(0).pause(pauseMillis, true);
+		cluster.advance(50);
+		submitJob(cluster, 3_000);
+		cluster.advance(6_000);
+		assertNoTaskRanTwice(cluster, "entry stands still for " + pauseMillis + " ms");
+	}
+
+	// Hypothesis 4: a new incarnation of an entry confirms sessions under which a guard
+	// still holds runs of the previous one.
+	@Example
+	void theRunsOfAnEntryEndAlthoughItsNextIncarnationIsBackBeforeItsCallers() {
+		for (int target = 0; target < 2; target++) {
+			for (long downMillis = 10; downMillis <= 1_300; downMillis += 30) {
+				ClusterModel cluster = ClusterModel.small();
+				submitJob(cluster, 4_000);
+				cluster.resubmitTo(cluster.entry(target));
+				cluster.advance(100);
+				cluster.entry(0).kill();
+				cluster.advance(downMillis);
+				cluster.entry(0).start();
+				cluster.advance(5_000);
+				assertNoTaskRanTwice(cluster, "back after " + downMillis + " ms");
+			}
+		}
+	}
+
+	// Hypothesis 4, and the guard stands still while the new incarnation connects.
+	@Example
+	void theRunsOfAnEntryEndAlthoughTheGuardNoticesItsNextIncarnationLate() {
+		for (long downMillis = 10; downMillis <= 1_300; downMillis += 30) {
+			ClusterModel cluster = ClusterModel.small();
+			submitJob(cluster, 4_000);
+			cluster.advance(100);
+			cluster.holder(JOB).orElseThrow().pause(1_500, false);
+			cluster.entry(0).kill();
+			cluster.advance(downMillis);
+			cluster.entry(0).start();
+			cluster.advance(5_000);
+			assertNoTaskRanTwice(cluster, "back after " + downMillis + " ms");
+		}
+	}
+
+	// Hypothesis 5: an entry takes the runs of a living guard for ended because the link
+	// is new.
+	@Example
+	void aNewLinkDoesNotMakeTheRunsOfAGuardStartElsewhere() {
+		for (long outageMillis = 1; outageMillis <= 2_500; outageMillis += 50) {
+			long outage = outageMillis;
+			assertJobsRunOnce("link away for " + outageMillis + " ms", (cluster) -> cluster.guards()
+				.forEach((guard) -> cluster.link(cluster.entry(0), guard).reset(outage)));
+		}
+	}
+
+	// Hypothesis 5: a link that is silent in one direction only is replaced or lost.
+	@Example
+	void aSilentLinkDoesNotMakeTheRunsOfAGuardStartElsewhere() {
+		for (long silentMillis = 100; silentMillis <= 2_500; silentMillis += 100) {
+			long silent = silentMillis;
+			assertJobsRunOnce("entry hears nothing for " + silentMillis + " ms", (cluster) -> cluster.guards()
+				.forEach((guard) -> cluster.link(cluster.entry(0), guard).silenceToEntry(silent)));
+			assertJobsRunOnce("guard hears nothing for " + silentMillis + " ms", (cluster) -> cluster.guards()
+				.forEach((guard) -> cluster.link(cluster.entry(0), guard).silenceToGuard(silent)));
+		}
+	}
+
+	// Hypothesis 5: the next incarnation of a guard reports the runs of the previous one
+	// as not started.
+	@Example
+	void theNextIncarnationOfAGuardDoesNotMakeRunsOfThePreviousOneStartElsewhere() {
+		for (long downMillis = 10; downMillis <= 2_000; downMillis += 50) {
+			for (boolean reportRestored : new boolean[] { true, false }) {
+				long down = downMillis;
+				assertJobsRunOnce("guard back after " + downMillis + " ms", (cluster) -> {
+					ModelGuard guard = cluster.guards().get(0);
+					guard.setReportRestored(reportRestored);
+					guard.kill();
+					cluster.advance(down);
+					guard.start();
+				});
+			}
+		}
+	}
+
+	// Hypothesis 5: a guard counts the runs of the previous incarnation of its endpoint
+	// as
+	// lost, together with those that the new one has started.
+	@Example
+	void theNextIncarnationOfAnEndpointDoesNotMakeItsOwnRunsStartElsewhere() {
+		for (long downMillis = 10; downMillis <= 1_000; downMillis += 50) {
+			long down = downMillis;
+			assertJobsRunOnce("endpoint back after " + downMillis + " ms", (cluster) -> {
+				ModelGuard guard = cluster.guards().get(0);
+				guard.endpoint().crash(true);
+				cluster.advance(down);
+				guard.endpoint().restart(true);
+				cluster.submit(cluster.entry(0), "late", 2_000);
+			});
+		}
+	}
+
+	// Hypothesis 5: after the guard has stood still, one answer of the endpoint covers
+	// the ends of several jobs, among runs that go on.
+	@Example
+	void aLateReportOfSeveralEndsDoesNotMakeTheRunsThatGoOnStartElsewhere() {
+		for (long pauseMillis = 100; pauseMillis <= 2_000; pauseMillis += 100) {
+			long pause = pauseMillis;
+			assertJobsRunOnce("guard stands still for " + pauseMillis + " ms",
+					(cluster) -> cluster.guards().forEach((guard) -> guard.pause(pause, false)));
+			assertJobsRunOnce("guard reads nothing for " + pauseMillis + " ms",
+					(cluster) -> cluster.guards().forEach((guard) -> guard.pause(pause, true)));
+		}
+	}
+
+	private static void assertJobsRunOnce(String circumstances, Consumer<ClusterModel> fault) {
+		ClusterModel cluster = new ClusterModel(1, 2, 3, 3);
+		for (int i = 0; i < 6; i++) {
+			cluster.submit(cluster.entry(0), JOB + i, 200 + 500 * i);
+		}
+		cluster.advance(150);
+		fault.accept(cluster);
+		cluster.advance(6_000);
+		assertNoTaskRanTwice(cluster, circumstances);
+		assertThat(cluster.prematureEnds()).as(circumstances).isEmpty();
+		assertThat(cluster.callers().completed()).as(circumstances).isEqualTo(cluster.callers().submitted());
+	}
+
+	private static void submitJob(ClusterModel cluster, long runMillis) {
+		cluster.resubmitTo(cluster.entry(1));
+		cluster.submit(cluster.entry(0), JOB, runMillis);
+	}
+
+	private static void assertNoTaskRanTwice(ClusterModel cluster, String circumstances) {
+		assertThat(cluster.violations()).as(() -> circumstances + "\n" + String.join("\n", cluster.trace().about(JOB)))
+			.isEmpty();
+	}
+
+}
