Answer a request that waits for earlier runs within its caller's wait

Callers that resubmitted a batch to the same entry while a run of the earlier request had not ended, for example at a guard that does not answer, got no answer: the waiting request had no deadline, and when it was served at last, its wait started again. At the end of a shutdown such a caller got a broken connection. A resubmitted batch that found no room was answered as not run although its earlier runs had started. A batch that is served after earlier runs counts as started, so it is never refused as not run. Evidence: four new tests of BatchDispatcherTests failed before and pass; core, wire and daemon pass.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -1,8 +1,6 @@
 package io.coriandermux.core.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -71,7 +69,7 @@
 
 	private final Map<CallerRef, Batch> byCaller = new LinkedHashMap<>();
 
-	private final Map<BatchId, Deque<DeferredRequest>> deferred = new LinkedHashMap<>();
+	private final WaitingRequests waitingRequests = new WaitingRequests();
 
 	private final long startedNanos;
 
@@ -144,25 +142,28 @@
 	 * @param now the current time
 	 */
 	public void submit(CallerRef caller, String host, String path, BatchRequest request, Moment now) {
+		submit(new CallerRequest(caller, host, path, request, now.nanos(), false), now);
+	}
+
+	private void submit(CallerRequest request, Moment now) {
 		if (this.routeTable == null) {
-			refuse(caller, request.id(), BatchVerdict.UNAVAILABLE, "no configuration is in force yet",
-					RETRY_AFTER_MILLIS);
+			refuse(request, BatchVerdict.UNAVAILABLE, "no configuration is in force yet", RETRY_AFTER_MILLIS);
 			return;
 		}
-		Optional<BatchRoute> route = this.routeTable.find(host, path);
+		Optional<BatchRoute> route = this.routeTable.find(request.host(), request.path());
 		if (route.isEmpty()) {
-			refuse(caller, request.id(), BatchVerdict.NO_ROUTE,
-					"version " + this.routeTable.version() + " has no route for " + host + path, 0);
+			refuse(request, BatchVerdict.NO_ROUTE,
+					"version " + this.routeTable.version() + " has no route for " + request.host() + request.path(), 0);
 			return;
 		}
-		if (request.unsupported().isPresent()) {
-			refuse(caller, request.id(), BatchVerdict.UNAVAILABLE, request.unsupported().get(), 0);
+		if (request.request().unsupported().isPresent()) {
+			refuse(request, BatchVerdict.UNAVAILABLE, request.request().unsupported().get(), 0);
 			return;
 		}
 		Batch known = this.batches.get(request.id());
 		if (known != null && !known.isAnswered()) {
-			known.callers().add(caller);
-			this.byCaller.put(caller, known);
+			known.callers().add(request.caller());
+			this.byCaller.put(request.caller(), known);
 			sendNotice(NoticeKind.BATCH_RESUBMITTED, request.id().value(),
 					"in progress for " + ageMillis(known, now) + " ms, " + describePlacedRuns(known));
 			return;
@@ -170,17 +171,16 @@
 		if (known != null) {
 			sendNotice(NoticeKind.BATCH_RESUBMITTED, request.id().value(), "answered but not ended, accepted "
 					+ ageMillis(known, now) + " ms ago, " + describePlacedRuns(known));
-			this.deferred.computeIfAbsent(request.id(), (id) -> new ArrayDeque<>())
-				.add(new DeferredRequest(caller, host, path, request));
+			this.waitingRequests.add(request);
 			return;
 		}
-		if (this.closed || this.shuttingDown && !fitsBeforeShutdown(route.get(), request, now)) {
-			refuse(caller, request.id(), BatchVerdict.UNAVAILABLE,
+		if (this.closed || this.shuttingDown && !fitsBeforeShutdown(route.get(), request.request(), now)) {
+			refuse(request, BatchVerdict.UNAVAILABLE,
 					"the entry ends in " + (this.shutdownDeadlineNanos - now.nanos()) / NANOS_PER_MILLI + " ms",
 					RETRY_AFTER_MILLIS);
 			return;
 		}
-		accept(caller, route.get(), request, now);
+		accept(request, route.get(), now);
 	}
 
 	// Allows twice the expected time because run times of a route vary by about that
@@ -191,23 +191,27 @@
 		return now.nanos() + needed <= this.shutdownDeadlineNanos;
 	}
 
-	private void accept(CallerRef caller, BatchRoute route, BatchRequest request, Moment now) {
+	private void accept(CallerRequest accepted, BatchRoute route, Moment now) {
+		BatchRequest request = accepted.request();
 		TaskGroup group = request.tasks();
 		boolean warmingUp = now.nanos() - this.startedNanos < this.settings.warmUpMillis() * NANOS_PER_MILLI;
 		if (!warmingUp && this.endpoints.inPool(route.pool()).isEmpty()) {
-			refuse(caller, request.id(), BatchVerdict.UNAVAILABLE, "pool " + route.pool() + " has no known endpoint",
+			refuse(accepted, BatchVerdict.UNAVAILABLE, "pool " + route.pool() + " has no known endpoint",
 					RETRY_AFTER_MILLIS);
 			return;
 		}
 		if (!warmingUp && !this.endpoints.canEverRun(route.pool(), group)) {
-			refuse(caller, request.id(), BatchVerdict.UNAVAILABLE,
+			refuse(accepted, BatchVerdict.UNAVAILABLE,
 					"no endpoint of pool " + route.pool() + " can hold a task that needs " + group.needs(), 0);
 			return;
 		}
 		this.lastSequence++;
-		Batch batch = new Batch(request, route, this.lastSequence, computeTimes(route, request, now));
-		batch.callers().add(caller);
-		this.byCaller.put(caller, batch);
+		Batch batch = new Batch(request, route, this.lastSequence, computeTimes(route, accepted, now));
+		if (accepted.mayHaveRun()) {
+			batch.markStarted();
+		}
+		batch.callers().add(accepted.caller());
+		this.byCaller.put(accepted.caller(), batch);
 		this.batches.put(batch.id(), batch);
 		this.placer.add(batch);
 		sendNotice(NoticeKind.BATCH_ACCEPTED, batch.id().value(),
@@ -215,7 +219,7 @@
 						+ " tasks of " + group.needs().millicores() + " millicores, declared " + group.declaredMillis()
 						+ " ms, expected " + batch.expectedNanos() / NANOS_PER_MILLI + " ms, latest start in "
 						+ (batch.latestStartNanos() - now.nanos()) / NANOS_PER_MILLI + " ms, caller waits "
-						+ request.waitMillis() + " ms");
+						+ request.waitMillis() + " ms, sent up to " + accepted.ageMillis(now) + " ms ago");
 		this.placer.place(now);
 		refuseIfTooLate(batch, now);
 	}
@@ -236,13 +240,13 @@
 		}
 	}
 
-	private BatchTimes computeTimes(BatchRoute route, BatchRequest request, Moment now) {
-		RunTimeEstimate estimate = this.runTimes.estimate(route, request.tasks());
+	private BatchTimes computeTimes(BatchRoute route, CallerRequest request, Moment now) {
+		RunTimeEstimate estimate = this.runTimes.estimate(route, request.request().tasks());
 		long expected = estimate.expectedNanos();
 		long fastest = (long) (expected * this.endpoints.leastSlowness(route.pool(), now.nanos()));
 		long objective = (long) (expected * route.slowdownFactor()) + route.extraMillis() * NANOS_PER_MILLI;
 		long latestStart = now.nanos() + objective - fastest - this.settings.overheadMillis() * NANOS_PER_MILLI;
-		long deadline = now.nanos() + (request.waitMillis() - this.settings.replyMarginMillis()) * NANOS_PER_MILLI;
+		long deadline = request.waitEndNanos() - this.settings.replyMarginMillis() * NANOS_PER_MILLI;
 		long lastUsefulStart = latestStart + (USEFUL_TIME_FACTOR - 1) * objective;
 		ResponseObjective responseObjective = new ResponseObjective(route.slowdownFactor(),
 				(route.extraMillis() - this.settings.overheadMillis()) * NANOS_PER_MILLI, estimate.typicalNanos(),
@@ -259,7 +263,7 @@
 	public void onCallerDisconnected(CallerRef caller, Moment now) {
 		Batch batch = this.byCaller.remove(caller);
 		if (batch == null) {
-			this.deferred.values().forEach((queue) -> queue.removeIf((request) -> request.caller().equals(caller)));
+			this.waitingRequests.remove(caller);
 			return;
 		}
 		batch.callers().remove(caller);
@@ -530,6 +534,8 @@
 				checkDeadlines(batch, now);
 			}
 		}
+		this.waitingRequests.removeEndingBefore(now.nanos() + this.settings.replyMarginMillis() * NANOS_PER_MILLI)
+			.forEach((request) -> answerUnfinished(request, "runs of an earlier request have not ended", now));
 		this.placer.place(now);
 	}
 
@@ -563,6 +569,7 @@
 	 */
 	public void abortBatches(Moment now) {
 		this.closed = true;
+		this.waitingRequests.removeAll().forEach((request) -> answerUnfinished(request, "the entry ends", now));
 		new ArrayList<>(this.batches.values()).stream()
 			.filter((batch) -> !batch.isAnswered())
 			.forEach(
@@ -581,7 +588,7 @@
 	public boolean closeIfIdle(Moment now) {
 		this.closed = this.closed || (this.shuttingDown
 				&& now.nanos() - this.shutdownStartedNanos >= this.settings.minShutdownMillis() * NANOS_PER_MILLI
-				&& this.batches.values().stream().allMatch(Batch::isAnswered));
+				&& this.waitingRequests.isEmpty() && this.batches.values().stream().allMatch(Batch::isAnswered));
 		return this.closed;
 	}
 
@@ -641,15 +648,19 @@
 			return;
 		}
 		this.batches.remove(batch.id());
-		Deque<DeferredRequest> next = this.deferred.remove(batch.id());
-		if (next != null) {
-			next.forEach((request) -> submit(request.caller(), request.host(), request.path(), request.request(), now));
-		}
+		this.waitingRequests.removeAll(batch.id()).forEach((request) -> submit(request.afterEarlierRuns(), now));
 	}
 
-	private void refuse(CallerRef caller, BatchId id, BatchVerdict verdict, String reason, long retryAfterMillis) {
-		sendNotice(NoticeKind.BATCH_REFUSED, id.value(), verdict + ": " + reason);
-		this.callers.answer(caller, new BatchAnswer(verdict, reason, retryAfterMillis));
+	private void refuse(CallerRequest request, BatchVerdict verdict, String reason, long retryAfterMillis) {
+		sendNotice(NoticeKind.BATCH_REFUSED, request.id().value(), verdict + ": " + reason);
+		this.callers.answer(request.caller(), request.mayHaveRun() ? BatchAnswer.of(BatchVerdict.UNFINISHED, reason)
+				: new BatchAnswer(verdict, reason, retryAfterMillis));
+	}
+
+	private void answerUnfinished(CallerRequest request, String reason, Moment now) {
+		sendNotice(NoticeKind.BATCH_ENDED, request.id().value(),
+				BatchVerdict.UNFINISHED + " after " + request.ageMillis(now) + " ms: " + reason);
+		this.callers.answer(request.caller(), BatchAnswer.of(BatchVerdict.UNFINISHED, reason));
 	}
 
 	private static long ageMillis(Batch batch, Moment now) {
@@ -660,17 +671,4 @@
 		this.notices.accept(new Notice(kind, subject, detail));
 	}
 
-	/**
-	 * A request that waits until the runs of an earlier request for the same batch have
-	 * ended.
-	 *
-	 * @param caller the caller
-	 * @param host host of the request
-	 * @param path path of the request
-	 * @param request the request
-	 */
-	private record DeferredRequest(CallerRef caller, String host, String path, BatchRequest request) {
-
-	}
-
 }
--- /dev/null
+++ b/core/src/main/java/io/coriandermux/core/dispatch/CallerRequest.java
@@ -0,0 +1,51 @@
+package io.coriandermux.core.dispatch;
+
+import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.run.BatchId;
+
+/**
+ * A request to run a batch together with its caller.
+ *
+ * @param caller the caller
+ * @param host host of the request
+ * @param path path of the request
+ * @param request the request
+ * @param receivedNanos time on the monotonic clock at which the entry received it
+ * @param mayHaveRun whether runs of an earlier request for the same batch were sent to
+ * guards, so that the batch can't be refused as not run
+ */
+record CallerRequest(CallerRef caller, String host, String path, BatchRequest request, long receivedNanos,
+		boolean mayHaveRun) {
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	BatchId id() {
+		return this.request.id();
+	}
+
+	/**
+	 * Returns the time at which the caller may have stopped waiting.
+	 * @return the time on the monotonic clock
+	 */
+	long waitEndNanos() {
+		return this.receivedNanos + (this.request.waitMillis() - this.request.ageMillis()) * NANOS_PER_MILLI;
+	}
+
+	/**
+	 * Returns the longest possible time since the caller sent the request.
+	 * @param now the current time
+	 * @return the time in milliseconds
+	 */
+	long ageMillis(Moment now) {
+		return this.request.ageMillis() + (now.nanos() - this.receivedNanos) / NANOS_PER_MILLI;
+	}
+
+	/**
+	 * Returns this request as it is served after the runs of an earlier one have ended.
+	 * @return the request
+	 */
+	CallerRequest afterEarlierRuns() {
+		return new CallerRequest(this.caller, this.host, this.path, this.request, this.receivedNanos, true);
+	}
+
+}
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchDispatcherTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchDispatcherTests.java
@@ -227,6 +227,63 @@
 		assertThat(fixture.verdict(second)).isEqualTo(BatchVerdict.COMPLETED);
 	}
 
+	// Guards against a caller that gets no answer within its wait because the runs of its
+	// earlier request do not end.
+	@Example
+	void answersARequestThatWaitsForEarlierRunsAsUnfinishedBeforeTheCallersTimeout() {
+		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
+		CallerRef first = fixture.submit("b1", 1);
+		fixture.dispatcher.onCallerDisconnected(first, fixture.now());
+		CallerRef second = fixture.submit("b1", 1);
+		fixture.advance(2_900);
+		assertThat(fixture.verdict(second)).isNull();
+		fixture.advance(90);
+		assertThat(fixture.verdict(second)).isEqualTo(BatchVerdict.UNFINISHED);
+		fixture.endRun("g1", fixture.starts().get(0), RunOutcome.STOPPED);
+		assertThat(fixture.starts()).hasSize(1);
+	}
+
+	// Guards against a wait that starts again when a request is served after earlier
+	// runs.
+	@Example
+	void countsTheWaitForEarlierRunsAsPartOfTheCallersTimeout() {
+		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
+		CallerRef first = fixture.submit("b1", 1);
+		fixture.dispatcher.onCallerDisconnected(first, fixture.now());
+		CallerRef second = fixture.submit("b1", 1);
+		fixture.advance(2_000);
+		fixture.endRun("g1", fixture.starts().get(0), RunOutcome.STOPPED);
+		assertThat(fixture.starts()).hasSize(2);
+		fixture.advance(990);
+		assertThat(fixture.verdict(second)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	// Guards against the answer "not run" for a batch whose earlier runs were started.
+	@Example
+	void doesNotRefuseABatchAsNotRunAfterEarlierRuns() {
+		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
+		CallerRef first = fixture.submit("b1", 1);
+		fixture.dispatcher.onCallerDisconnected(first, fixture.now());
+		CallerRef second = fixture.submit("b1", 1);
+		fixture.reportLoad("g1", DispatcherFixture.CAPACITY, new ResourceAmounts(0, 0, 0), Set.of(), 1);
+		fixture.endRun("g1", fixture.starts().get(0), RunOutcome.STOPPED);
+		fixture.advance(2_990);
+		assertThat(fixture.starts()).hasSize(1);
+		assertThat(fixture.verdict(second)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	// Guards against callers whose connection is closed without an answer at the end of a
+	// shutdown.
+	@Example
+	void answersWaitingRequestsAtTheShutdownLimit() {
+		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
+		CallerRef first = fixture.submit("b1", 1);
+		fixture.dispatcher.onCallerDisconnected(first, fixture.now());
+		CallerRef second = fixture.submit("b1", 1);
+		fixture.dispatcher.abortBatches(fixture.now());
+		assertThat(fixture.verdict(second)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
 	@Example
 	void answersAStartedBatchAsUnfinishedBeforeTheCallersTimeout() {
 		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
