Forward the connections of the soak with one thread

Cause: each proxied connection had two threads, about 2,500 at 15 entries and 80 guards, a size that did not serve. A connection could not be broken on one side only, nor deliver bytes or its end late. Change: the proxies use a selector.

--- a/soak/src/test/java/io/coriandermux/soak/Cluster.java
+++ b/soak/src/test/java/io/coriandermux/soak/Cluster.java
@@ -47,6 +47,8 @@
 
 	private final RunObserver observer;
 
+	private final ProxyLoop proxies = new ProxyLoop();
+
 	private final StoreStandIn store = new StoreStandIn(this::withProxyPorts);
 
 	/** Port of the proxy by the port that the process behind it announces. */
@@ -157,7 +159,7 @@
 	}
 
 	private FaultProxy addProxy(int target) throws IOException {
-		FaultProxy proxy = new FaultProxy(target);
+		FaultProxy proxy = new FaultProxy(this.proxies, target);
 		this.links.add(proxy);
 		return proxy;
 	}
@@ -193,6 +195,7 @@
 		for (FaultProxy link : this.links) {
 			link.close();
 		}
+		this.proxies.close();
 		this.store.close();
 	}
 
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -396,9 +396,9 @@
 	}
 
 	private void impairLink(Fault fault) throws InterruptedException {
-		FaultProxy.Mode[] modes = FaultProxy.Mode.values();
+		List<FaultProxy.Mode> modes = FaultProxy.Mode.LINK_FAULTS;
 		FaultProxy link = this.cluster.links().get(fault.target() % this.cluster.links().size());
-		link.setMode(modes[1 + fault.target() % (modes.length - 1)]);
+		link.setMode(modes.get(fault.target() % modes.size()));
 		sleep(fault.forMillis());
 		link.setMode(FaultProxy.Mode.PASS);
 	}
