Add callers as on the sites and a balancer to the soak

Cause: callers of the soak connected to the entries directly, waited for 4 s and worked in a closed loop of 20 to 35 jobs a second. A path of a caller was never silent, half open or closed late, no balancer moved callers, and what became of a job decided when the next one came. It waits 1.5 s (--wait) and submits again 1.3 s after a broken connection, no answer or 504, not after 429 or 503. The endpoints get the capacity that the rate needs. A request that no entry accepted counts as not run.

--- /dev/null
+++ b/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
@@ -0,0 +1,302 @@
+package io.coriandermux.soak;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import io.coriandermux.platform.standin.JobsClient;
+
+/**
+ * Callers as on the sites of the users: jobs arrive at a given rate, whatever becomes of
+ * the earlier ones, through the balancer. A caller keeps its connection and stays with
+ * its entry until the connection breaks.
+ */
+final class SiteCallers implements AutoCloseable {
+
+	private static final String QUEUE_ROUTE = "/queue/";
+
+	/** Delay before a caller submits a job again that was not answered. */
+	private static final long RESUBMIT_DELAY_MILLIS = 1_300;
+
+	/** Leaves time for a third attempt after two without an answer within 1.5 s. */
+	private static final long GIVE_UP_MILLIS = 6_000;
+
+	/** Limits the memory if the system answers nothing. */
+	private static final int MAX_WAITING_CALLERS = 4_000;
+
+	private static final long STACK_BYTES = 256 * 1024;
+
+	/** Jobs of the deployment: run time in milliseconds and number of tasks. */
+	private static final int[][] JOBS = { { 73, 8 }, { 1_086, 4 }, { 243, 2 } };
+
+	/** Mean of the jobs above, with one run in five taking 1.5 to 3 times as long. */
+	private static final double MEAN_CORE_SECONDS = (0.073 * 8 + 1.086 * 4 + 0.243 * 2) / 3 * 1.25;
+
+	/** At this share of busy cores jobs seldom wait, so that losses come from faults. */
+	private static final double TARGET_LOAD = 0.6;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	/**
+	 * At the full rate at once, processes that have just started fall behind for good.
+	 */
+	static final long RAMP_MILLIS = 8_000;
+
+	private static final double MIN_RAMP = 0.1;
+
+	private final Cluster cluster;
+
+	private final Balancer balancer;
+
+	private final GuaranteeChecker checker;
+
+	private final Consumer<String> trace;
+
+	private final BooleanSupplier undisturbed;
+
+	private final Load load;
+
+	private final Random random;
+
+	private final Queue<Caller> idle = new ConcurrentLinkedQueue<>();
+
+	private final AtomicInteger callerCount = new AtomicInteger();
+
+	private final AtomicLong lastJobNumber = new AtomicLong(1L << 32);
+
+	private final AtomicLong answered = new AtomicLong();
+
+	private final AtomicLong served = new AtomicLong();
+
+	private final ExecutorService executor = new ThreadPoolExecutor(0, MAX_WAITING_CALLERS, 5, TimeUnit.SECONDS,
+			new SynchronousQueue<>(), (work) -> new Thread(null, work, "caller", STACK_BYTES),
+			(work, executor) -> reportOverflow());
+
+	private volatile boolean ending;
+
+	/**
+	 * Creates callers that submit nothing yet.
+	 * @param cluster the processes
+	 * @param checker checks what the callers observe
+	 * @param trace receives a line for each attempt
+	 * @param undisturbed whether no fault acts on the system
+	 * @param load the rate and the time that a caller waits
+	 * @param seed seed of the arrivals
+	 */
+	SiteCallers(Cluster cluster, GuaranteeChecker checker, Consumer<String> trace, BooleanSupplier undisturbed,
+			Load load, long seed) {
+		this.cluster = cluster;
+		this.balancer = cluster.balancer();
+		this.checker = checker;
+		this.trace = trace;
+		this.undisturbed = undisturbed;
+		this.load = load;
+		this.random = new Random(seed);
+	}
+
+	/**
+	 * Returns the capacity that an endpoint needs for a rate.
+	 * @param rate jobs a second
+	 * @param endpoints number of endpoints
+	 * @return the capacity in thousandths of a core, at least 8 cores
+	 */
+	static int requiredCapacity(int rate, int endpoints) {
+		return Math.max(8, (int) Math.ceil(rate * MEAN_CORE_SECONDS / TARGET_LOAD / endpoints)) * 1_000;
+	}
+
+	long answered() {
+		return this.answered.get();
+	}
+
+	long served() {
+		return this.served.get();
+	}
+
+	void start() {
+		Thread arrivals = new Thread(this::submitJobs, "arrivals");
+		arrivals.setDaemon(true);
+		arrivals.start();
+	}
+
+	private void submitJobs() {
+		long startMillis = this.checker.millis();
+		double dueMillis = startMillis;
+		try {
+			while (!this.ending) {
+				double ramp = Math.min(1, MIN_RAMP + (dueMillis - startMillis) / RAMP_MILLIS);
+				dueMillis += -Math.log(1 - this.random.nextDouble()) * MILLIS_PER_SECOND / this.load.rate() / ramp;
+				long waitMillis = (long) dueMillis - this.checker.millis();
+				if (waitMillis > 0) {
+					sleep(waitMillis);
+				}
+				int[] job = JOBS[this.random.nextInt(JOBS.length)];
+				this.executor.execute(() -> submitJob(job[1], job[0]));
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void reportOverflow() {
+		if (!this.ending) {
+			this.checker.reportViolation("SOAK", "more than " + MAX_WAITING_CALLERS + " callers wait");
+		}
+	}
+
+	private void submitJob(int tasks, long runMillis) {
+		Caller caller = this.idle.poll();
+		if (caller == null) {
+			caller = new Caller(this.callerCount.incrementAndGet());
+		}
+		try {
+			boolean completed = caller.submit(tasks, runMillis);
+			this.answered.incrementAndGet();
+			if (completed) {
+				this.served.incrementAndGet();
+			}
+			this.idle.add(caller);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void sleep(long millis) throws InterruptedException {
+		new CountDownLatch(1).await(millis, TimeUnit.MILLISECONDS);
+	}
+
+	void stop() throws InterruptedException {
+		this.ending = true;
+		this.executor.shutdown();
+		this.executor.awaitTermination(10, TimeUnit.SECONDS);
+	}
+
+	@Override
+	public void close() {
+		this.ending = true;
+		this.executor.shutdownNow();
+	}
+
+	/**
+	 * The load of a run.
+	 *
+	 * @param rate jobs a second, 0 for callers that each wait for their previous job
+	 * @param waitMillis the time that a caller waits for an answer, in milliseconds
+	 */
+	record Load(int rate, int waitMillis) {
+
+		/** Callers in a closed loop, which is what the plans of the first seeds need. */
+		static final Load CLOSED = new Load(0, 0);
+
+		boolean isClosed() {
+			return this.rate == 0;
+		}
+
+	}
+
+	private final class Caller {
+
+		private final int number;
+
+		private final JobsClient client = new JobsClient();
+
+		private int entry = -1;
+
+		Caller(int number) {
+			this.number = number;
+		}
+
+		boolean submit(int tasks, long runMillis) throws InterruptedException {
+			String id = String.format("%016x", SiteCallers.this.lastJobNumber.incrementAndGet());
+			SiteCallers.this.checker.onSubmitted(id, tasks, String.valueOf(runMillis));
+			long end = SiteCallers.this.checker.millis() + GIVE_UP_MILLIS;
+			boolean refused = true;
+			boolean completed = false;
+			boolean resubmits = true;
+			for (int attempt = 0; resubmits; attempt++) {
+				chooseEntry(attempt);
+				Attempt result = submitOnce(id, tasks, runMillis);
+				completed = result == Attempt.COMPLETED;
+				refused &= result == Attempt.NOT_RUN || result == Attempt.NOT_CONNECTED;
+				resubmits = !SiteCallers.this.ending
+						&& (result == Attempt.UNANSWERED || result == Attempt.NOT_CONNECTED)
+						&& SiteCallers.this.checker.millis() + RESUBMIT_DELAY_MILLIS < end;
+				if (resubmits) {
+					sleep(RESUBMIT_DELAY_MILLIS);
+				}
+			}
+			SiteCallers.this.checker.onSubmissionEnded(id, refused, completed);
+			return completed;
+		}
+
+		private void chooseEntry(int attempt) {
+			boolean stays = attempt == 0 && this.entry >= 0
+					&& this.client.isConnected(SiteCallers.this.balancer.path(this.entry).port());
+			if (!stays) {
+				this.entry = SiteCallers.this.balancer.choose(this.number, attempt, (attempt > 0) ? this.entry : -1);
+			}
+		}
+
+		private Attempt submitOnce(String id, int tasks, long runMillis) {
+			FaultProxy path = SiteCallers.this.balancer.path(this.entry);
+			SystemProcess process = SiteCallers.this.cluster.entries().get(this.entry);
+			boolean wasUndisturbed = SiteCallers.this.undisturbed.getAsBoolean() && process.isAlive();
+			long sentMillis = SiteCallers.this.checker.millis();
+			SiteCallers.this.trace.accept(id + " submitted to " + process.name());
+			try {
+				JobsClient.Reply reply = this.client.submit(path.port(), QUEUE_ROUTE, id, tasks, runMillis,
+						SiteCallers.this.load.waitMillis());
+				SiteCallers.this.trace.accept(id + " answered by " + process.name() + ": " + reply.statusCode());
+				return toAttempt(id, reply);
+			}
+			catch (IOException ex) {
+				SiteCallers.this.trace.accept(id + " not answered by " + process.name() + ": " + ex);
+				if (path.hasRefused(this.client.lastLocalPort())) {
+					return Attempt.NOT_CONNECTED;
+				}
+				// A caller that gives up after its wait is not cut, only late.
+				if (wasUndisturbed && SiteCallers.this.undisturbed.getAsBoolean()
+						&& !(ex instanceof SocketTimeoutException)) {
+					SiteCallers.this.checker.reportViolation("LOST", id + " at " + process.name() + " after "
+							+ (SiteCallers.this.checker.millis() - sentMillis) + " ms: " + ex);
+				}
+				return Attempt.UNANSWERED;
+			}
+		}
+
+		private Attempt toAttempt(String id, JobsClient.Reply reply) {
+			if (reply.statusCode() == 200 && reply.body().contains("completed")) {
+				return Attempt.COMPLETED;
+			}
+			if (reply.statusCode() == 429 || reply.statusCode() == 503) {
+				return Attempt.NOT_RUN;
+			}
+			if (reply.statusCode() != 504) {
+				SiteCallers.this.checker.reportViolation("ANSWER",
+						id + " was answered with " + reply.statusCode() + " " + reply.body());
+			}
+			return Attempt.UNANSWERED;
+		}
+
+	}
+
+	/** How an attempt to submit a job ended. */
+	private enum Attempt {
+
+		COMPLETED, NOT_RUN, NOT_CONNECTED, UNANSWERED
+
+	}
+
+}
