Add the faults of the sites to the soak

Change: the kinds RESTART_SOON, HALF_OPEN_CALLERS, HARM_CALLERS, PAUSE_LONG and FREEZE_RESET, each in series of one to four that overlap, and the range "site", a part of all kinds.

--- /dev/null
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -0,0 +1,179 @@
+package io.coriandermux.soak;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+/**
+ * Faults as on the sites of the users: a platform that restarts what ends, paths of
+ * callers that break on one side, and VMs that stand still for longer than callers wait.
+ */
+final class SiteFaults {
+
+	private static final List<FaultProxy.Mode> PATH_FAULTS = List.of(FaultProxy.Mode.LATE_CLOSE,
+			FaultProxy.Mode.HOLD_FORTH, FaultProxy.Mode.HOLD_BACK, FaultProxy.Mode.HOLD);
+
+	/** The platform restarts what has ended; callers come back after 1.3 s. */
+	private static final int MIN_RESTART_DELAY_MILLIS = 200;
+
+	private static final int RESTART_DELAY_RANGE_MILLIS = 800;
+
+	/** Callers wait for 1.5 s. */
+	private static final int MIN_PAUSE_MILLIS = 1_000;
+
+	private static final int PAUSE_RANGE_MILLIS = 2_000;
+
+	private static final int MIN_IMPAIRMENT_MILLIS = 300;
+
+	private static final int IMPAIRMENT_RANGE_MILLIS = 2_700;
+
+	/** Shorter than most faults, so that those of a series overlap. */
+	private static final int SERIES_INTERVAL_MILLIS = 1_500;
+
+	private final Cluster cluster;
+
+	private final ScheduledExecutorService scheduler;
+
+	private final GuaranteeChecker checker;
+
+	private final Consumer<String> trace;
+
+	private final LongConsumer disturbance;
+
+	/**
+	 * Creates the faults of a run.
+	 * @param cluster the processes
+	 * @param scheduler ends faults
+	 * @param checker receives failures of the soak itself
+	 * @param trace receives a line for each part of a fault
+	 * @param disturbance receives for how many milliseconds a fault disturbs the system
+	 */
+	SiteFaults(Cluster cluster, ScheduledExecutorService scheduler, GuaranteeChecker checker, Consumer<String> trace,
+			LongConsumer disturbance) {
+		this.cluster = cluster;
+		this.scheduler = scheduler;
+		this.checker = checker;
+		this.trace = trace;
+		this.disturbance = disturbance;
+	}
+
+	void inject(Fault fault) throws IOException, InterruptedException {
+		// The first values of generators with similar seeds are similar.
+		Random choice = new Random(new Random(fault.target() + 1_000L * fault.atMillis()).nextLong());
+		for (int remaining = 1 + choice.nextInt(4); remaining > 0; remaining--) {
+			switch (fault.kind()) {
+				case RESTART_SOON -> restart(drawProcess(choice), choice);
+				case HALF_OPEN_CALLERS -> impairPaths(FaultProxy.Mode.HOLD,
+						(choice.nextInt(3) != 0) ? FaultProxy.ResetSide.CLIENT : FaultProxy.ResetSide.TARGET, choice);
+				case HARM_CALLERS -> {
+					FaultProxy.Mode mode = PATH_FAULTS.get(choice.nextInt(PATH_FAULTS.size()));
+					impairPaths(mode, (mode == FaultProxy.Mode.LATE_CLOSE) ? FaultProxy.ResetSide.CLIENT
+							: FaultProxy.ResetSide.NONE, choice);
+				}
+				case PAUSE_LONG -> pause(drawEntry(choice), drawPauseMillis(choice));
+				case FREEZE_RESET -> freeze(choice);
+				default -> throw new IllegalArgumentException("no fault of the sites: " + fault.kind());
+			}
+			sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
+		}
+	}
+
+	private SystemProcess drawEntry(Random choice) {
+		return this.cluster.entries().get(choice.nextInt(this.cluster.entries().size()));
+	}
+
+	private SystemProcess drawProcess(Random choice) {
+		return choice.nextBoolean() ? drawEntry(choice)
+				: this.cluster.guards().get(choice.nextInt(this.cluster.guards().size()));
+	}
+
+	private static int drawPauseMillis(Random choice) {
+		return MIN_PAUSE_MILLIS + choice.nextInt(PAUSE_RANGE_MILLIS);
+	}
+
+	private void restart(SystemProcess process, Random choice) throws InterruptedException {
+		long delayMillis = MIN_RESTART_DELAY_MILLIS + choice.nextInt(RESTART_DELAY_RANGE_MILLIS);
+		this.disturbance.accept(delayMillis);
+		this.trace.accept("kill " + process.name() + ", restart after " + delayMillis + " ms");
+		process.kill();
+		process.awaitEnd(Cluster.GRACE_MILLIS);
+		endAfter(delayMillis, process::start);
+	}
+
+	private void pause(SystemProcess process, long millis) throws IOException, InterruptedException {
+		this.disturbance.accept(millis);
+		this.trace.accept("pause " + process.name() + " for " + millis + " ms");
+		process.pause();
+		endAfter(millis, process::resume);
+	}
+
+	private void impairPaths(FaultProxy.Mode mode, FaultProxy.ResetSide side, Random choice) {
+		int entry = choice.nextInt(this.cluster.entries().size());
+		List<FaultProxy> paths = choice.nextBoolean() ? this.cluster.balancer().paths()
+				: List.of(this.cluster.balancer().path(entry));
+		impair(paths, mode, side, MIN_IMPAIRMENT_MILLIS + choice.nextInt(IMPAIRMENT_RANGE_MILLIS), choice);
+	}
+
+	private void impair(List<FaultProxy> paths, FaultProxy.Mode mode, FaultProxy.ResetSide side, long millis,
+			Random choice) {
+		int percent = 30 + choice.nextInt(71);
+		long seed = choice.nextLong();
+		this.disturbance.accept(millis);
+		this.trace.accept("impair " + percent + "% of the callers of " + paths.size() + " entries: " + mode
+				+ ", reset side " + side + ", for " + millis + " ms");
+		paths.forEach((path) -> path.impair(mode, side, percent, seed + path.port()));
+		endAfter(millis, () -> paths.forEach(FaultProxy::release));
+	}
+
+	private void freeze(Random choice) throws IOException, InterruptedException {
+		SystemProcess process = drawProcess(choice);
+		long millis = drawPauseMillis(choice);
+		pause(process, millis);
+		sleep(choice.nextInt(SERIES_INTERVAL_MILLIS / 2));
+		int percent = 30 + choice.nextInt(71);
+		long seed = choice.nextLong();
+		this.trace.accept("reset " + percent + "% of the links");
+		this.cluster.remoteLinks().forEach((link) -> link.reset(percent, seed + link.port()));
+		int number = this.cluster.entries().indexOf(process);
+		List<FaultProxy> paths = (number >= 0) ? List.of(this.cluster.balancer().path(number))
+				: this.cluster.balancer().paths();
+		if (choice.nextBoolean()) {
+			this.trace.accept("reset " + percent + "% of the callers of " + paths.size() + " entries");
+			paths.forEach((path) -> path.reset(percent, seed + path.port()));
+		}
+		else {
+			impair(paths, FaultProxy.Mode.HOLD, FaultProxy.ResetSide.CLIENT, millis, choice);
+		}
+	}
+
+	private void endAfter(long millis, FaultEnd end) {
+		this.scheduler.schedule(() -> {
+			try {
+				end.run();
+			}
+			catch (IOException ex) {
+				this.checker.reportViolation("SOAK", "a fault could not be ended: " + ex.getMessage());
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}, millis, TimeUnit.MILLISECONDS);
+	}
+
+	private static void sleep(long millis) throws InterruptedException {
+		new CountDownLatch(1).await(millis, TimeUnit.MILLISECONDS);
+	}
+
+	@FunctionalInterface
+	private interface FaultEnd {
+
+		void run() throws IOException, InterruptedException;
+
+	}
+
+}
--- a/soak/src/test/java/io/coriandermux/soak/Soak.java
+++ b/soak/src/test/java/io/coriandermux/soak/Soak.java
@@ -37,6 +37,9 @@
 		long faultMillis = Long.parseLong(arguments[2]) * 1000;
 		SiteCallers.Load load = new SiteCallers.Load(Integer.parseInt(arguments[6]), Integer.parseInt(arguments[7]));
 		FaultRange range = new FaultRange(arguments[5]);
+		if (range.needsBalancer() && load.isClosed()) {
+			throw new IllegalArgumentException("these faults need callers at a rate: " + range.name());
+		}
 		boolean passed = true;
 		for (long seed = first; seed < first + count; seed++) {
 			passed &= runSeed(seed, faultMillis, Integer.parseInt(arguments[3]), Integer.parseInt(arguments[4]), range,
