Keep overlapping faults of the callers' paths apart

Cause: the end of one impairment delivered what later ones held, so that entries were told of half open connections after 0.25 s instead of up to 3 s. Jobs that faults interrupted waited up to 0.6 s for free cores, and their second runs started after the first ones had ended anyway. Change: an impairment ends what it holds itself; a new test shows it. The endpoints have 16 cores or are loaded to 35%.

--- a/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
@@ -168,11 +168,12 @@
 	}
 
 	/**
-	 * Impairs a part of the open connections until {@link #release()}.
+	 * Impairs a part of the open connections until {@link #release(long)}.
 	 * @param next their mode
 	 * @param side the side that is reset at once
 	 * @param percent the share of the connections in percent
-	 * @param seed selects the connections and the delays of their ends
+	 * @param seed selects the connections and the delays of their ends, and identifies the
+	 * impairment
 	 */
 	void impair(Mode next, ResetSide side, int percent, long seed) {
 		this.loop.execute(() -> {
@@ -180,15 +181,19 @@
 			for (Connection connection : List.copyOf(this.connections)) {
 				long closeDelayMillis = MIN_CLOSE_DELAY_MILLIS + choice.nextInt(CLOSE_DELAY_RANGE_MILLIS);
 				if (choice.nextInt(100) < percent) {
-					connection.impair(next, side, closeDelayMillis);
+					connection.impair(next, side, closeDelayMillis, seed);
 				}
 			}
 		});
 	}
 
-	/** Ends the impairment and delivers what was held. */
-	void release() {
-		this.loop.execute(() -> List.copyOf(this.connections).forEach(Connection::release));
+	/**
+	 * Ends an impairment and delivers what was held. Connections that have been impaired
+	 * again meanwhile stay so.
+	 * @param seed the seed of the impairment
+	 */
+	void release(long seed) {
+		this.loop.execute(() -> List.copyOf(this.connections).forEach((connection) -> connection.release(seed)));
 	}
 
 	void reset() {
@@ -256,6 +261,8 @@
 
 		private long closeDelayMillis;
 
+		private long impairment;
+
 		Connection(SocketChannel client, SocketChannel target) {
 			this.client = client;
 			this.target = target;
@@ -416,11 +423,12 @@
 			}
 		}
 
-		void impair(Mode next, ResetSide side, long delayMillis) {
+		void impair(Mode next, ResetSide side, long delayMillis, long seed) {
 			if (this.target.isConnectionPending()) {
 				return;
 			}
 			this.ownMode = next;
+			this.impairment = seed;
 			this.closeDelayMillis = delayMillis;
 			if (side == ResetSide.NONE) {
 				return;
@@ -432,8 +440,8 @@
 			}
 		}
 
-		void release() {
-			if (this.ownMode == null || this.target.isConnectionPending()) {
+		void release(long seed) {
+			if (this.ownMode == null || this.impairment != seed || this.target.isConnectionPending()) {
 				return;
 			}
 			this.ownMode = null;
--- a/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
@@ -127,7 +127,18 @@
 		assertIsReset(this.client);
 		this.target.getOutputStream().write(2);
 		assertIsQuiet(this.target);
-		this.proxy.release();
+		this.proxy.release(1);
+		assertIsReset(this.target);
+	}
+
+	@Example
+	void theEndOfAnEarlierImpairmentDoesNotEndALaterOne() throws IOException {
+		this.proxy.impair(FaultProxy.Mode.HOLD_FORTH, FaultProxy.ResetSide.NONE, 100, 1);
+		this.proxy.impair(FaultProxy.Mode.HOLD, FaultProxy.ResetSide.CLIENT, 100, 2);
+		assertIsReset(this.client);
+		this.proxy.release(1);
+		assertIsQuiet(this.target);
+		this.proxy.release(2);
 		assertIsReset(this.target);
 	}
 
@@ -137,7 +148,7 @@
 		assertIsReset(this.target);
 		this.client.getOutputStream().write(1);
 		assertIsQuiet(this.client);
-		this.proxy.release();
+		this.proxy.release(1);
 		assertIsReset(this.client);
 	}
 
@@ -148,7 +159,7 @@
 		this.client.getOutputStream().write(2);
 		this.client.close();
 		assertIsQuiet(this.target);
-		this.proxy.release();
+		this.proxy.release(1);
 		assertThat(this.target.getInputStream().readAllBytes()).containsExactly(2);
 	}
 
--- a/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
@@ -43,8 +43,13 @@
 	/** Mean of the jobs above, with one run in five taking 1.5 to 3 times as long. */
 	private static final double MEAN_CORE_SECONDS = (0.073 * 8 + 1.086 * 4 + 0.243 * 2) / 3 * 1.25;
 
-	/** At this share of busy cores jobs seldom wait, so that losses come from faults. */
-	private static final double TARGET_LOAD = 0.6;
+	/**
+	 * Jobs that faults interrupt run again, which takes as much again. If they wait for
+	 * free cores then, their second runs start after the first ones have ended anyway.
+	 */
+	private static final double TARGET_LOAD = 0.35;
+
+	private static final int MIN_CORES = 16;
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -109,10 +114,10 @@
 	 * Returns the capacity that an endpoint needs for a rate.
 	 * @param rate jobs a second
 	 * @param endpoints number of endpoints
-	 * @return the capacity in thousandths of a core, at least 8 cores
+	 * @return the capacity in thousandths of a core
 	 */
 	static int requiredCapacity(int rate, int endpoints) {
-		return Math.max(8, (int) Math.ceil(rate * MEAN_CORE_SECONDS / TARGET_LOAD / endpoints)) * 1_000;
+		return Math.max(MIN_CORES, (int) Math.ceil(rate * MEAN_CORE_SECONDS / TARGET_LOAD / endpoints)) * 1_000;
 	}
 
 	long answered() {
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -127,7 +127,7 @@
 		this.trace.accept("impair " + percent + "% of the callers of " + paths.size() + " entries: " + mode
 				+ ", reset side " + side + ", for " + millis + " ms");
 		paths.forEach((path) -> path.impair(mode, side, percent, seed + path.port()));
-		endAfter(millis, () -> paths.forEach(FaultProxy::release));
+		endAfter(millis, () -> paths.forEach((path) -> path.release(seed + path.port())));
 	}
 
 	private void freeze(Random choice) throws IOException, InterruptedException {
