Refuse addresses of peers that are not IP addresses

Operators of another system saw machines stop following the list of runners because of one odd entry. Here an announcement with a name as its address made the link thread look the name up at each attempt to connect. The platform has no name lookup, so all links and sessions of the process could stand still for the time of a resolver's timeout. A port out of range and an empty address, which means the process itself, were tried again without end. Cause: LinkManager gave any text to new InetSocketAddress(host, port). Change: PeerAddress gives a socket address only for an IPv4 or IPv6 literal of one process with a port from 1 to 65,535, and never looks up a name. An address that is refused is reported once; an earlier valid one stays in use. The time of a lookup was not measured.

--- a/wire/src/main/java/io/coriandermux/wire/LinkManager.java
+++ b/wire/src/main/java/io/coriandermux/wire/LinkManager.java
@@ -58,8 +58,17 @@
 	}
 
 	void connect(PeerName name, PeerAddress address, long now) {
+		InetSocketAddress socketAddress;
+		try {
+			socketAddress = address.toSocketAddress();
+		}
+		catch (InvalidAddressException ex) {
+			// An earlier valid address of this peer stays in use.
+			this.listener.onError(name.toString(), ex.getMessage());
+			return;
+		}
 		PeerLink link = findOrCreateLink(name, now);
-		link.address(address);
+		link.address(socketAddress);
 		connectIfDue(link, now);
 	}
 
@@ -291,7 +300,7 @@
 		if (!link.isConnectDue(now, this.settings)) {
 			return;
 		}
-		PeerAddress address = link.address().orElseThrow();
+		InetSocketAddress address = link.address().orElseThrow();
 		Handshake handshake = new Handshake(this.context.secret(), this.context.self(), this.context.nonce(), true);
 		try {
 			SocketChannel channel = SocketChannel.open();
@@ -299,13 +308,15 @@
 			link.attempt(connection, now);
 			register(connection, SelectionKey.OP_CONNECT);
 			connection.startHandshake();
-			if (channel.connect(new InetSocketAddress(address.host(), address.port()))) {
+			if (channel.connect(address)) {
 				connection.updateInterestOps();
 			}
 			this.unflushed.add(connection);
 		}
 		catch (IOException | CodecException | IllegalArgumentException ex) {
-			link.attempt().ifPresent((connection) -> closeAndReport(connection, address + ": " + ex.getMessage()));
+			link.attempt()
+				.ifPresent((connection) -> closeAndReport(connection,
+						address.getAddress().getHostAddress() + ":" + address.getPort() + ": " + ex.getMessage()));
 		}
 	}
 
--- a/wire/src/main/java/io/coriandermux/wire/PeerLink.java
+++ b/wire/src/main/java/io/coriandermux/wire/PeerLink.java
@@ -1,5 +1,6 @@
 package io.coriandermux.wire;
 
+import java.net.InetSocketAddress;
 import java.util.Optional;
 
 /**
@@ -12,7 +13,7 @@
 
 	private final PeerName name;
 
-	private PeerAddress address;
+	private InetSocketAddress address;
 
 	private Connection current;
 
@@ -36,11 +37,11 @@
 		return this.name;
 	}
 
-	Optional<PeerAddress> address() {
+	Optional<InetSocketAddress> address() {
 		return Optional.ofNullable(this.address);
 	}
 
-	void address(PeerAddress value) {
+	void address(InetSocketAddress value) {
 		this.address = value;
 	}
 
--- a/wire/src/test/java/io/coriandermux/wire/LinkEventLoopTests.java
+++ b/wire/src/test/java/io/coriandermux/wire/LinkEventLoopTests.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -70,6 +71,27 @@
 		this.entryEvents.expect(new Credit(3).toString());
 	}
 
+	// Guards against a name lookup on the thread of all links, which would stall every
+	// link and session, and against endless attempts to reach an address that cannot be
+	// valid.
+	@Example
+	void refusesAnInvalidAddressOnceAndConnectsToALaterValidOne() throws Exception {
+		List<PeerAddress> invalid = List.of(new PeerAddress("guard.invalid", 7720), new PeerAddress("", 7720),
+				new PeerAddress("1", 7720), new PeerAddress("10.0.0.256", 7720), new PeerAddress("0.0.0.0", 7720),
+				new PeerAddress("224.0.0.1", 7720), new PeerAddress("::", 7720), new PeerAddress("1:zz", 7720),
+				new PeerAddress("x".repeat(70_000), 7720), new PeerAddress(HOST, 0), new PeerAddress(HOST, -1),
+				new PeerAddress(HOST, 65_536));
+		for (PeerAddress address : invalid) {
+			this.entry.connect(GUARD, address);
+			assertThat(this.entryEvents.errors.poll(60, TimeUnit.SECONDS)).startsWith("not a valid address: ")
+				.hasSizeLessThan(200);
+		}
+		advanceMillis(10_000);
+		this.entry.connect(GUARD, new PeerAddress(HOST, this.guard.port()));
+		this.entryEvents.expect("connected guard g1 5");
+		assertThat(this.entryEvents.errors).isEmpty();
+	}
+
 	@Example
 	void reportsAMessageThatIsDroppedWithoutALink() throws Exception {
 		this.entry.send(GUARD, new Demand(1));
@@ -358,6 +380,8 @@
 
 		private final LinkedBlockingQueue<String> dropped = new LinkedBlockingQueue<>();
 
+		private final LinkedBlockingQueue<String> errors = new LinkedBlockingQueue<>();
+
 		private final AtomicLong refusals = new AtomicLong();
 
 		private final AtomicLong exceptions = new AtomicLong();
@@ -382,6 +406,7 @@
 
 		@Override
 		public void onError(String peer, String reason) {
+			this.errors.add(reason);
 			add("error " + peer);
 		}
 
