End no loop without the process on a stack overflow

Cause: the link thread and the decision loop caught RuntimeException only. A StackOverflowError, which small stacks (-Xss256k) make more likely, ended the thread, while the process went on without links and decisions and so was never started again. No input is known that causes an overflow there.

--- a/wire/src/main/java/io/coriandermux/wire/LinkEventLoop.java
+++ b/wire/src/main/java/io/coriandermux/wire/LinkEventLoop.java
@@ -249,7 +249,7 @@
 			catch (IOException ex) {
 				this.listener.onError("selector", String.valueOf(ex.getMessage()));
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | StackOverflowError ex) {
 				this.listener.onError("links", "unexpected exception: " + ex);
 			}
 		}
@@ -313,7 +313,7 @@
 		catch (IOException ex) {
 			this.links.closeAndReport(connection, String.valueOf(ex.getMessage()));
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			// A bug in the handling of one message closes its connection but does
 			// not stop the process.
 			this.links.closeAndReport(connection, "unexpected exception: " + ex);
--- a/wire/src/test/java/io/coriandermux/wire/LinkEventLoopTests.java
+++ b/wire/src/test/java/io/coriandermux/wire/LinkEventLoopTests.java
@@ -219,6 +219,14 @@
 		}
 	}
 
+	// Guards against a process that goes on without its links, because a stack overflow
+	// about one message ended their thread.
+	@Example
+	void recoversFromAStackOverflowInTheListener() throws Exception {
+		this.guardEvents.throwsErrors = true;
+		recoversFromAnUnexpectedExceptionInTheListener();
+	}
+
 	@Example
 	void recoversFromAnUnexpectedExceptionInTheListener() throws Exception {
 		this.entry.connect(GUARD, new PeerAddress(HOST, this.guard.port()));
@@ -386,6 +394,8 @@
 
 		private final AtomicLong exceptions = new AtomicLong();
 
+		private volatile boolean throwsErrors;
+
 		@Override
 		public boolean onConnected(PeerIdentity peer) {
 			return add("connected " + peer.name() + " " + peer.incarnation().value());
@@ -399,6 +409,9 @@
 		@Override
 		public boolean onMessage(PeerIdentity peer, Message message) {
 			if (!(message instanceof Heartbeat) && this.exceptions.getAndSet(0) > 0) {
+				if (this.throwsErrors) {
+					throw new StackOverflowError("error of this test");
+				}
 				throw new IllegalStateException("exception of this test");
 			}
 			return add((message instanceof Heartbeat heartbeat) ? "echo " + heartbeat.echoNanos() : message.toString());
