Keep background threads after an unexpected exception

Cause: an exception ended the thread that parses the configurations of other entries (and the store thread of the product's entries), so the process applied no later one. An exception about the earlier announcement in the store repeated itself, so the process was never announced, and an error such as a stack overflow ended the threads of the watch and of the announcement for good. The exceptions are thrown by the tests; no value is known that causes one.

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -86,7 +86,7 @@
 	 * Parses the documents that other entries send, because parsing would block the
 	 * decision thread for too long.
 	 */
-	private final Worker documentParser = new Worker("tables");
+	private final Worker documentParser;
 
 	private final SessionConfirmations confirmations = new SessionConfirmations(this::checkCallers, this::confirm);
 
@@ -111,6 +111,7 @@
 				new BatchProcess.EventHandlers(this::placeTasks, this::tick, new Listener(), (previous) -> {
 				}));
 		this.context = this.process.context();
+		this.documentParser = new Worker("tables", this.context.health());
 		this.loop = this.process.loop();
 		this.links = this.process.links();
 		this.connectedPeers = new ConnectedPeers(this.links::send);
--- a/daemon/src/main/java/io/coriandermux/daemon/entry/EntryStore.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/entry/EntryStore.java
@@ -40,7 +40,7 @@
 
 	private final EntryStoreListener listener;
 
-	private final Worker worker = new Worker("store");
+	private final Worker worker;
 
 	private final Announcer announcer;
 
@@ -51,6 +51,7 @@
 	EntryStore(ProcessContext context, EntryInfo self, ActiveConfig config, EntryStoreListener listener)
 			throws StoreException {
 		this.context = context;
+		this.worker = new Worker("store", context.health());
 		this.store = context.createStoreClient();
 		this.listener = listener;
 		this.config = config;
--- a/daemon/src/main/java/io/coriandermux/daemon/run/Announcer.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/Announcer.java
@@ -139,7 +139,7 @@
 				this.health.onCallFailed(ex);
 				pause(RETRY_DELAY_MILLIS);
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | StackOverflowError ex) {
 				this.health.onUnexpectedException(this.thread.getName(), ex);
 				pause(RETRY_DELAY_MILLIS);
 			}
@@ -149,7 +149,7 @@
 	private long announce() throws StoreException {
 		Optional<KvEntry> stored = this.store.readPrefix(this.key).entry(this.key);
 		if (this.revision == 0) {
-			stored.map(KvEntry::value).ifPresent(this.onEarlierValue);
+			stored.map(KvEntry::value).ifPresent(this::reportEarlierValue);
 		}
 		long lease = this.store.grantLease(this.ttlMillis);
 		write(stored.map(KvEntry::revision).orElse(0L), lease);
@@ -158,6 +158,17 @@
 		return lease;
 	}
 
+	// Another writer may have written the value. If an exception about it ended the call,
+	// the process would never be announced.
+	private void reportEarlierValue(String earlier) {
+		try {
+			this.onEarlierValue.accept(earlier);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.health.onUnexpectedException(this.thread.getName(), ex);
+		}
+	}
+
 	private void write(long expectedRevision, long lease) throws StoreException {
 		String newValue = this.value.get();
 		this.revision = this.store.put(this.key, newValue, expectedRevision, Optional.of(lease));
--- a/daemon/src/main/java/io/coriandermux/daemon/run/StoreHealth.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/StoreHealth.java
@@ -43,13 +43,13 @@
 	}
 
 	/**
-	 * Logs an unexpected exception in a thread that calls the store. The thread
-	 * continues, because without it the process would lose its announcement or receive no
-	 * more changes while everything else of it works.
+	 * Logs an unexpected exception or stack overflow in a background thread, such as one
+	 * that calls the store. The thread continues, because without it the process would
+	 * lose its announcement or receive no more changes while everything else of it works.
 	 * @param thread name of the thread
 	 * @param ex the exception
 	 */
-	public void onUnexpectedException(String thread, RuntimeException ex) {
+	public void onUnexpectedException(String thread, Throwable ex) {
 		StackTraceElement[] trace = ex.getStackTrace();
 		this.log.record(LogEvent.STORE_CALLER_FAILED, thread, ex + ((trace.length > 0) ? " at " + trace[0] : ""));
 	}
--- a/daemon/src/main/java/io/coriandermux/daemon/run/StoreWatch.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/StoreWatch.java
@@ -93,7 +93,7 @@
 				this.onUnavailable.run();
 				pause(RETRY_DELAY_MILLIS);
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | StackOverflowError ex) {
 				this.health.onUnexpectedException(this.thread.getName(), ex);
 				pause(RETRY_DELAY_MILLIS);
 			}
--- a/daemon/src/main/java/io/coriandermux/daemon/run/Worker.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/Worker.java
@@ -16,13 +16,17 @@
 
 	private final Thread thread;
 
+	private final StoreHealth health;
+
 	private volatile boolean running = true;
 
 	/**
 	 * Starts the thread.
 	 * @param name name of the thread
+	 * @param health logs an unexpected exception of a piece of work
 	 */
-	public Worker(String name) {
+	public Worker(String name, StoreHealth health) {
+		this.health = health;
 		this.thread = new Thread(this::run, name);
 		this.thread.setDaemon(true);
 		this.thread.start();
@@ -49,10 +53,19 @@
 		}
 	}
 
+	private void execute(Runnable work) {
+		try {
+			work.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.health.onUnexpectedException(this.thread.getName(), ex);
+		}
+	}
+
 	private void run() {
 		while (this.running) {
 			try {
-				this.queue.take().run();
+				execute(this.queue.take());
 			}
 			catch (InterruptedException ex) {
 				// Only close() interrupts this thread.
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
@@ -123,6 +123,35 @@
 		}
 	}
 
+	// Guards against an entry that applies no later configuration, because an exception
+	// about one document ended the thread that parses the documents of other entries.
+	@Example
+	void appliesAConfigurationAfterOneThatMadeTheParserFail() throws Exception {
+		this.store.put(CONFIG_KEY, "2", 0, Optional.empty());
+		CountDownLatch failed = new CountDownLatch(1);
+		ConfigSource failing = new ConfigSource(CONFIG_KEY, (document) -> {
+			if (document.equals("2")) {
+				failed.countDown();
+				throw new IllegalStateException("exception of this test");
+			}
+			return CONFIG.reader().read(document);
+		});
+		try (BatchEntryShell first = entry("entry-1", this.store);
+				BatchEntryShell second = new BatchEntryShell(
+						new BatchEntrySettings(processSettings("entry-2"), new PeerAddress(HOST, 0),
+								new PeerAddress(HOST, 0), 1.5),
+						this.time, new StoreWithoutConfig(this.store), failing)) {
+			assertThat(failed.await(30, TimeUnit.SECONDS)).isTrue();
+			this.store.put(CONFIG_KEY, "3", this.store.readPrefix(CONFIG_KEY).entries().get(0).revision(),
+					Optional.empty());
+			for (int count = 0; count < 3000 && !second.gateway().isConfigured(); count++) {
+				new CountDownLatch(1).await(10, TimeUnit.MILLISECONDS);
+			}
+			assertThat(second.gateway().isConfigured()).isTrue();
+			assertThat(first.hasFailed()).isFalse();
+		}
+	}
+
 	private CompletableFuture<BatchAnswer> submit(BatchEntryShell entry, String id) {
 		CompletableFuture<BatchAnswer> answer = new CompletableFuture<>();
 		BatchRequest request = new BatchRequest(new BatchId(id), "spec",
--- a/daemon/src/test/java/io/coriandermux/daemon/run/StoreThreadTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/run/StoreThreadTests.java
@@ -56,6 +56,45 @@
 		assertThat(unexpectedExceptions()).hasSize(1);
 	}
 
+	// Guards against a process that follows no later change, because one made the
+	// receiver fail, be it with an error such as a stack overflow.
+	@Example
+	void watchContinuesAfterItsReceiverFailed() throws InterruptedException, StoreException {
+		this.store.memory.put("a/b", "v", 0, Optional.empty());
+		LinkedBlockingQueue<KvSnapshot> received = new LinkedBlockingQueue<>();
+		StoreWatch watch = new StoreWatch(this.store, "a/", 1_000, (snapshot) -> {
+			received.add(snapshot);
+			if (snapshot.entries().size() == 1) {
+				throw new StackOverflowError("error of this test");
+			}
+		}, () -> {
+		}, this.health);
+		assertThat(received.poll(20, TimeUnit.SECONDS).entries()).hasSize(1);
+		this.store.memory.put("a/c", "w", 0, Optional.empty());
+		KvSnapshot second = received.poll(20, TimeUnit.SECONDS);
+		watch.close();
+		assertThat(second).isNotNull();
+		assertThat(unexpectedExceptions()).hasSize(2);
+	}
+
+	// Guards against a process that is never announced, because another writer stored a
+	// value under its key that makes the receiver fail.
+	@Example
+	void announcementIsWrittenAlthoughTheEarlierValueMakesItsReceiverFail()
+			throws InterruptedException, StoreException {
+		this.store.memory.put("a/self", "odd", 0, Optional.empty());
+		CountDownLatch announced = new CountDownLatch(1);
+		try (Announcer announcer = new Announcer(this.store, new KvEntry("a/self", "v", 0), 6_000, (earlier) -> {
+			throw new StackOverflowError("error of this test");
+		}, announced::countDown, this.log, this.health)) {
+			announcer.start();
+			assertThat(announced.await(20, TimeUnit.SECONDS)).isTrue();
+			assertThat(this.store.memory.readPrefix("a/self").entries()).extracting(KvEntry::value)
+				.containsExactly("v");
+		}
+		assertThat(unexpectedExceptions()).hasSize(2);
+	}
+
 	private List<String> unexpectedExceptions() {
 		return this.log.recentEvents()
 			.stream()
