Read announcements and reports of endpoints within their ranges

What operators would see: a guard that serves nothing after its start, because another writer left a report with a later start time or a higher sequence under its key. The guard restored that report, and every report of its endpoint was stale after it, until the process started again without the key. Cause: AnnouncementFormat read numbers with asLong, which cuts a number that is too large, accepts texts and checks no range. A role in other letters was a second key of the same process, 7.5 was the incarnation 7, and any text was an address. Jackson's own limits already refused deep nesting and long numbers. Change: JsonInput reads documents with limits on depth, numbers and texts and fields with type and range. ReportLimits checks the reports of endpoints wherever they come from. StoreValueReader skips, counts and logs once what cannot be read for whatever reason, so that no value hides the others; announcements of the product are read alike.

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
@@ -5,18 +5,19 @@
 import java.util.Optional;
 import java.util.Set;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.coriandermux.config.ConfigKeys;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.PoolName;
 import io.coriandermux.core.lease.EndpointIncarnation;
 import io.coriandermux.core.lease.EndpointReport;
 import io.coriandermux.core.run.ResourceAmounts;
+import io.coriandermux.daemon.run.JsonInput;
 import io.coriandermux.daemon.run.MalformedValueException;
 import io.coriandermux.store.KvEntry;
+import io.coriandermux.wire.InvalidAddressException;
 import io.coriandermux.wire.PeerAddress;
 import io.coriandermux.wire.PeerName;
 import io.coriandermux.wire.PeerRole;
@@ -31,7 +32,10 @@
 
 	private static final String ENDPOINT = "endpoint";
 
-	private static final ObjectMapper JSON = new ObjectMapper();
+	private static final int MAX_PORT = 65_535;
+
+	/** Limits the length of the text in messages; an IP address has at most 45. */
+	private static final int MAX_ADDRESS_CHARACTERS = 64;
 
 	private AnnouncementFormat() {
 	}
@@ -44,8 +48,9 @@
 	 * @return key and value
 	 */
 	static KvEntry write(Member member, Optional<EndpointReport> report) {
-		String key = PREFIX + member.name().role().name().toLowerCase(Locale.ROOT) + "/" + member.name().id();
-		ObjectNode node = JSON.createObjectNode()
+		String key = prefix(member.name().role()) + member.name().id();
+		ObjectNode node = JsonInput.mapper()
+			.createObjectNode()
 			.put("address", member.address().host())
 			.put("port", member.address().port())
 			.put("incarnation", member.incarnation().value());
@@ -68,51 +73,71 @@
 	/**
 	 * Reads the last report of the endpoint of a guard.
 	 * @param value the announcement of the guard
+	 * @param nowEpochMillis the current time in milliseconds since 1970
 	 * @return the report, empty if the announcement has none
 	 * @throws MalformedValueException if the value is malformed
 	 */
-	static Optional<EndpointReport> readReport(String value) throws MalformedValueException {
-		try {
-			JsonNode node = JSON.readTree(value).path(ENDPOINT);
-			if (!node.isObject()) {
-				return Optional.empty();
-			}
-			Set<String> labels = new LinkedHashSet<>();
-			node.path("labels").forEach((label) -> labels.add(label.asText()));
-			ResourceAmounts capacity = new ResourceAmounts(node.path("millicores").asLong(),
-					node.path("memoryMb").asLong(), node.path("accelerators").asLong());
-			return Optional.of(new EndpointReport(
-					new EndpointIncarnation(node.path("id").asText(), node.path("born").asLong()),
-					node.path("sequence").asLong(), new PoolName(node.path("pool").asText()), labels, capacity, false));
+	static Optional<EndpointReport> readReport(String value, long nowEpochMillis) throws MalformedValueException {
+		JsonNode announcement = JsonInput.parseObject(value);
+		if (!announcement.has(ENDPOINT)) {
+			return Optional.empty();
 		}
-		catch (JsonProcessingException ex) {
-			throw new MalformedValueException("not JSON: " + ex.getOriginalMessage());
+		JsonNode node = announcement.path(ENDPOINT);
+		Set<String> labels = new LinkedHashSet<>();
+		for (JsonNode label : node.path("labels")) {
+			if (!label.isTextual()) {
+				throw new MalformedValueException("labels: texts are expected");
+			}
+			labels.add(label.textValue());
 		}
-		catch (IllegalArgumentException ex) {
-			throw new MalformedValueException(ENDPOINT + ": " + ex.getMessage());
+		ResourceAmounts capacity = new ResourceAmounts(amount(node, "millicores"), amount(node, "memoryMb"),
+				amount(node, "accelerators"));
+		String pool = JsonInput.text(node, "pool", ReportLimits.MAX_NAME_CHARACTERS);
+		if (pool.isBlank()) {
+			throw new MalformedValueException("pool: the name is blank");
 		}
+		EndpointReport report = new EndpointReport(
+				new EndpointIncarnation(JsonInput.text(node, "id", ReportLimits.MAX_NAME_CHARACTERS),
+						JsonInput.number(node, "born", 0, JsonInput.MAX_INTEGER)),
+				JsonInput.number(node, "sequence", 0, ReportLimits.MAX_SEQUENCE), new PoolName(pool), labels, capacity,
+				false);
+		ReportLimits.check(report, nowEpochMillis);
+		return Optional.of(report);
+	}
+
+	private static long amount(JsonNode node, String field) throws MalformedValueException {
+		return JsonInput.number(node, field, 0, ReportLimits.MAX_AMOUNT);
 	}
 
 	static Member readMember(KvEntry entry) throws MalformedValueException {
-		String[] parts = entry.key().substring(PREFIX.length()).split("/", 2);
+		PeerName name = readName(entry.key());
+		JsonNode node = JsonInput.parseObject(entry.value());
+		PeerAddress address = new PeerAddress(JsonInput.text(node, "address", MAX_ADDRESS_CHARACTERS),
+				(int) JsonInput.number(node, "port", 1, MAX_PORT));
 		try {
-			JsonNode node = JSON.readTree(entry.value());
-			JsonNode port = node.path("port");
-			JsonNode incarnation = node.path("incarnation");
-			if (parts.length != 2 || !node.path("address").isTextual() || !port.isInt()
-					|| !incarnation.canConvertToLong()) {
-				throw new MalformedValueException(entry.key() + ": not a valid announcement");
-			}
-			PeerRole role = PeerRole.valueOf(parts[0].toUpperCase(Locale.ROOT));
-			return new Member(new PeerName(role, parts[1]), new Incarnation(incarnation.longValue()),
-					new PeerAddress(node.path("address").textValue(), port.intValue()));
+			address.toSocketAddress();
 		}
-		catch (JsonProcessingException ex) {
-			throw new MalformedValueException(entry.key() + ": not JSON: " + ex.getOriginalMessage());
+		catch (InvalidAddressException ex) {
+			throw new MalformedValueException(ex.getMessage());
 		}
-		catch (IllegalArgumentException ex) {
-			throw new MalformedValueException(entry.key() + ": unknown process role");
+		return new Member(name, new Incarnation(JsonInput.number(node, "incarnation", 0, JsonInput.MAX_INTEGER)),
+				address);
+	}
+
+	// The name of the role is compared exactly: with other spellings a second key would
+	// name the same process and replace its announcement.
+	private static PeerName readName(String key) throws MalformedValueException {
+		for (PeerRole role : PeerRole.values()) {
+			String prefix = prefix(role);
+			if (key.startsWith(prefix) && ConfigKeys.isValidName(key.substring(prefix.length()))) {
+				return new PeerName(role, key.substring(prefix.length()));
+			}
 		}
+		throw new MalformedValueException("the key does not name a process");
+	}
+
+	private static String prefix(PeerRole role) {
+		return PREFIX + role.name().toLowerCase(Locale.ROOT) + "/";
 	}
 
 }
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -78,7 +78,7 @@
 	/** Peers whose link is established. Used by the decision thread only. */
 	private final ConnectedPeers connectedPeers;
 
-	private final AnnouncementReader announcements = new AnnouncementReader();
+	private final AnnouncementReader announcements;
 
 	private final TablesExchange exchange;
 
@@ -111,6 +111,7 @@
 				new BatchProcess.EventHandlers(this::placeTasks, this::tick, new Listener(), (previous) -> {
 				}));
 		this.context = this.process.context();
+		this.announcements = new AnnouncementReader(this.context.log(), this.context.metrics());
 		this.documentParser = new Worker("tables", this.context.health());
 		this.loop = this.process.loop();
 		this.links = this.process.links();
@@ -232,7 +233,7 @@
 	}
 
 	private void onMembersChanged(KvSnapshot snapshot) {
-		Map<PeerName, Member> members = this.announcements.read(snapshot, this.context.log());
+		Map<PeerName, Member> members = this.announcements.read(snapshot);
 		this.loop.put(() -> updateLinks(members));
 	}
 
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
@@ -82,8 +82,10 @@
 	 * Processes a heartbeat of the endpoint.
 	 * @param report the contents of the heartbeat
 	 * @return whether it was accepted; not if the decision thread is overloaded
+	 * @throws MalformedValueException if a field is outside of its range
 	 */
-	public boolean onHeartbeat(EndpointReport report) {
+	public boolean onHeartbeat(EndpointReport report) throws MalformedValueException {
+		ReportLimits.check(report, this.process.now().epochMillis());
 		return this.process.loop().offer(() -> {
 			this.leaseManager.onHeartbeat(report, this.process.now());
 			if (!report.incarnation().equals(this.announcedIncarnation)) {
@@ -163,7 +165,7 @@
 
 	private void restoreReport(String announcement) {
 		try {
-			AnnouncementFormat.readReport(announcement)
+			AnnouncementFormat.readReport(announcement, this.process.now().epochMillis())
 				.ifPresent((report) -> this.process.loop()
 					.put(() -> this.leaseManager.restoreReport(report, this.process.now())));
 		}
--- a/daemon/src/main/java/io/coriandermux/daemon/entry/EntryStore.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/entry/EntryStore.java
@@ -17,6 +17,7 @@
 import io.coriandermux.daemon.run.Announcer;
 import io.coriandermux.daemon.run.MalformedValueException;
 import io.coriandermux.daemon.run.ProcessContext;
+import io.coriandermux.daemon.run.StoreValueReader;
 import io.coriandermux.daemon.run.StoreValues;
 import io.coriandermux.daemon.run.StoreWatch;
 import io.coriandermux.daemon.run.Worker;
@@ -42,6 +43,10 @@
 
 	private final Worker worker;
 
+	private final StoreValueReader<EntryInfo> entries;
+
+	private final StoreValueReader<GuardInfo> guards;
+
 	private final Announcer announcer;
 
 	private final List<StoreWatch> watches = new ArrayList<>();
@@ -52,6 +57,8 @@
 			throws StoreException {
 		this.context = context;
 		this.worker = new Worker("store", context.health());
+		this.entries = new StoreValueReader<>(StoreValues::decodeEntry, context.log(), context.metrics());
+		this.guards = new StoreValueReader<>(StoreValues::decodeGuard, context.log(), context.metrics());
 		this.store = context.createStoreClient();
 		this.listener = listener;
 		this.config = config;
@@ -65,8 +72,8 @@
 		watch(ConfigKeys.PREFIX, this.config::offer);
 		watch(StoreValues.HOMES,
 				(snapshot) -> decodeHomes(snapshot).ifPresent((homes) -> this.listener.onEvent(new HomesRead(homes))));
-		watch(StoreValues.ENTRIES, (snapshot) -> this.listener.onEntriesListed(decodeEntries(snapshot)));
-		watch(StoreValues.GUARDS, (snapshot) -> this.listener.onGuardsListed(decodeGuards(snapshot), 0));
+		watch(StoreValues.ENTRIES, (snapshot) -> this.listener.onEntriesListed(this.entries.read(snapshot)));
+		watch(StoreValues.GUARDS, (snapshot) -> this.listener.onGuardsListed(this.guards.read(snapshot), 0));
 	}
 
 	/**
@@ -81,7 +88,7 @@
 	}
 
 	void listGuards(long request) {
-		call(() -> this.listener.onGuardsListed(decodeGuards(this.store.readPrefix(StoreValues.GUARDS)), request));
+		call(() -> this.listener.onGuardsListed(this.guards.read(this.store.readPrefix(StoreValues.GUARDS)), request));
 	}
 
 	void writeHomes(HomeTable next) {
@@ -141,36 +148,11 @@
 		}
 		catch (MalformedValueException ex) {
 			this.context.log().record(LogEvent.VALUE_MALFORMED, entry.get().key(), ex.getMessage());
+			this.context.metrics().count(StoreValueReader.MALFORMED_COUNTER);
 			return Optional.empty();
 		}
 	}
 
-	private List<EntryInfo> decodeEntries(KvSnapshot snapshot) {
-		List<EntryInfo> infos = new ArrayList<>();
-		for (KvEntry entry : snapshot.entries()) {
-			try {
-				infos.add(StoreValues.decodeEntry(entry));
-			}
-			catch (MalformedValueException ex) {
-				this.context.log().record(LogEvent.VALUE_MALFORMED, entry.key(), ex.getMessage());
-			}
-		}
-		return infos;
-	}
-
-	private List<GuardInfo> decodeGuards(KvSnapshot snapshot) {
-		List<GuardInfo> infos = new ArrayList<>();
-		for (KvEntry entry : snapshot.entries()) {
-			try {
-				infos.add(StoreValues.decodeGuard(entry));
-			}
-			catch (MalformedValueException ex) {
-				this.context.log().record(LogEvent.VALUE_MALFORMED, entry.key(), ex.getMessage());
-			}
-		}
-		return infos;
-	}
-
 	/**
 	 * A call to the store.
 	 */
--- a/daemon/src/main/java/io/coriandermux/daemon/run/StoreValues.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/StoreValues.java
@@ -3,11 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.coriandermux.config.ConfigKeys;
 import io.coriandermux.core.api.Resources;
 import io.coriandermux.core.home.HomeMember;
 import io.coriandermux.core.home.HomeTable;
@@ -22,6 +21,8 @@
 import io.coriandermux.core.member.EntryInfo;
 import io.coriandermux.core.member.GuardInfo;
 import io.coriandermux.store.KvEntry;
+import io.coriandermux.wire.InvalidAddressException;
+import io.coriandermux.wire.PeerAddress;
 
 /**
  * Encodes and decodes the JSON values that entries and guards write to the store, and
@@ -38,7 +39,14 @@
 	/** Prefix of the announcements of guards. */
 	public static final String GUARDS = "/guards/";
 
-	private static final ObjectMapper JSON = new ObjectMapper();
+	private static final int MAX_PORT = 65_535;
+
+	private static final int MAX_NAME_CHARACTERS = 128;
+
+	/** Limits of the settings, from which guards announce their endpoints. */
+	private static final int MAX_SLOTS = 1024;
+
+	private static final int MAX_RESOURCE_AMOUNT = 100_000_000;
 
 	private StoreValues() {
 	}
@@ -76,7 +84,7 @@
 	 * @return the JSON value
 	 */
 	public static String encode(HomeTable homes) {
-		ObjectNode node = JSON.createObjectNode();
+		ObjectNode node = JsonInput.mapper().createObjectNode();
 		ArrayNode members = node.putArray("members");
 		for (HomeMember member : homes.members()) {
 			members.addObject().put("entry", member.entry().value()).put("incarnation", member.incarnation().value());
@@ -97,8 +105,9 @@
 	public static EntryInfo decodeEntry(KvEntry entry) throws MalformedValueException {
 		JsonNode node = parse(entry);
 		try {
-			return new EntryInfo(new EntryId(entry.key().substring(ENTRIES.length())), incarnation(node),
-					text(node, "address"), integer(node, "port"), new ZoneName(text(node, "zone")));
+			PeerAddress address = address(node);
+			return new EntryInfo(new EntryId(id(entry, ENTRIES)), incarnation(node), address.host(), address.port(),
+					new ZoneName(text(node, "zone")));
 		}
 		catch (IllegalArgumentException ex) {
 			throw new MalformedValueException(entry.key() + ": " + ex.getMessage());
@@ -115,11 +124,12 @@
 		JsonNode node = parse(entry);
 		try {
 			JsonNode capacity = node.path("capacity");
-			return new GuardInfo(new GuardId(entry.key().substring(GUARDS.length())), incarnation(node),
-					text(node, "address"), integer(node, "port"), new ZoneName(text(node, "zone")),
-					new RackName(text(node, "rack")), new EndpointName(text(node, "endpoint")), integer(node, "slots"),
-					new Resources(integer(capacity, "cores"), integer(capacity, "memoryMb"),
-							integer(capacity, "accelerators")));
+			PeerAddress address = address(node);
+			return new GuardInfo(new GuardId(id(entry, GUARDS)), incarnation(node), address.host(), address.port(),
+					new ZoneName(text(node, "zone")), new RackName(text(node, "rack")),
+					new EndpointName(text(node, "endpoint")), (int) JsonInput.number(node, "slots", 0, MAX_SLOTS),
+					new Resources(amount(capacity, "cores"), amount(capacity, "memoryMb"),
+							amount(capacity, "accelerators")));
 		}
 		catch (IllegalArgumentException ex) {
 			throw new MalformedValueException(entry.key() + ": " + ex.getMessage());
@@ -142,14 +152,17 @@
 			List<Integer> homes = new ArrayList<>();
 			for (JsonNode index : node.path("homes")) {
 				if (!index.isInt() || index.intValue() < -1 || index.intValue() >= members.size()) {
-					throw new IllegalArgumentException("home index " + index + " refers to no member");
+					throw new IllegalArgumentException(
+							"home index " + JsonInput.quote(index.toString()) + " refers to no member");
 				}
 				homes.add(index.intValue());
 			}
 			List<Long> epochs = new ArrayList<>();
 			for (JsonNode epoch : node.path("epochs")) {
-				if (!epoch.isIntegralNumber() || !epoch.canConvertToLong()) {
-					throw new IllegalArgumentException("epoch " + epoch + " is not an integer");
+				if (!epoch.isIntegralNumber() || !epoch.canConvertToLong() || epoch.longValue() < 0
+						|| epoch.longValue() > JsonInput.MAX_INTEGER) {
+					throw new IllegalArgumentException(
+							"epoch " + JsonInput.quote(epoch.toString()) + " is out of range");
 				}
 				epochs.add(epoch.longValue());
 			}
@@ -165,7 +178,8 @@
 	}
 
 	private static ObjectNode announcement(String address, int port, ZoneName zone, Incarnation incarnation) {
-		return JSON.createObjectNode()
+		return JsonInput.mapper()
+			.createObjectNode()
 			.put("address", address)
 			.put("port", port)
 			.put("zone", zone.value())
@@ -173,36 +187,38 @@
 	}
 
 	private static JsonNode parse(KvEntry entry) throws MalformedValueException {
+		return JsonInput.parseObject(entry.value());
+	}
+
+	private static String id(KvEntry entry, String prefix) throws MalformedValueException {
+		String id = entry.key().startsWith(prefix) ? entry.key().substring(prefix.length()) : "";
+		if (!ConfigKeys.isValidName(id)) {
+			throw new MalformedValueException("the key does not name a process");
+		}
+		return id;
+	}
+
+	private static PeerAddress address(JsonNode node) throws MalformedValueException {
+		PeerAddress address = new PeerAddress(text(node, "address"), (int) JsonInput.number(node, "port", 1, MAX_PORT));
 		try {
-			return JSON.readTree(entry.value());
+			address.toSocketAddress();
 		}
-		catch (JsonProcessingException ex) {
-			throw new MalformedValueException(entry.key() + ": not JSON: " + ex.getOriginalMessage());
+		catch (InvalidAddressException ex) {
+			throw new MalformedValueException(ex.getMessage());
 		}
+		return address;
 	}
 
-	private static Incarnation incarnation(JsonNode node) {
-		JsonNode value = node.path("incarnation");
-		if (!value.isIntegralNumber() || !value.canConvertToLong()) {
-			throw new IllegalArgumentException("incarnation is not an integer");
-		}
-		return new Incarnation(value.longValue());
+	private static Incarnation incarnation(JsonNode node) throws MalformedValueException {
+		return new Incarnation(JsonInput.number(node, "incarnation", 0, JsonInput.MAX_INTEGER));
 	}
 
-	private static String text(JsonNode node, String field) {
-		JsonNode value = node.path(field);
-		if (!value.isTextual()) {
-			throw new IllegalArgumentException(field + " is not a string");
-		}
-		return value.textValue();
+	private static String text(JsonNode node, String field) throws MalformedValueException {
+		return JsonInput.text(node, field, MAX_NAME_CHARACTERS);
 	}
 
-	private static int integer(JsonNode node, String field) {
-		JsonNode value = node.path(field);
-		if (!value.isInt() || value.intValue() < 0) {
-			throw new IllegalArgumentException(field + " is not a non-negative integer");
-		}
-		return value.intValue();
+	private static int amount(JsonNode node, String field) throws MalformedValueException {
+		return (int) JsonInput.number(node, field, 0, MAX_RESOURCE_AMOUNT);
 	}
 
 }
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/AnnouncementFormatTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/AnnouncementFormatTests.java
@@ -13,6 +13,7 @@
 import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.daemon.log.EventLog;
 import io.coriandermux.daemon.run.MalformedValueException;
+import io.coriandermux.daemon.run.ProcessMetrics;
 import io.coriandermux.store.KvEntry;
 import io.coriandermux.store.KvSnapshot;
 import io.coriandermux.wire.PeerAddress;
@@ -40,29 +41,29 @@
 	void readsWhatWasWritten() throws MalformedValueException {
 		KvEntry entry = AnnouncementFormat.write(GUARD, Optional.of(REPORT));
 		assertThat(AnnouncementFormat.readMember(entry)).isEqualTo(GUARD);
-		assertThat(AnnouncementFormat.readReport(entry.value())).contains(REPORT);
+		assertThat(AnnouncementFormat.readReport(entry.value(), 17)).contains(REPORT);
 	}
 
 	@Example
 	void readsAnAnnouncementWithoutAnEndpoint() throws MalformedValueException {
 		KvEntry entry = AnnouncementFormat.write(GUARD, Optional.empty());
 		assertThat(AnnouncementFormat.readMember(entry)).isEqualTo(GUARD);
-		assertThat(AnnouncementFormat.readReport(entry.value())).isEmpty();
+		assertThat(AnnouncementFormat.readReport(entry.value(), 17)).isEmpty();
 	}
 
 	@Example
 	void returnsTheMembersOfValidAnnouncementsAfterEachChange() {
 		EventLog log = new EventLog("entry", new SystemTime(Clock.systemUTC()));
-		AnnouncementReader reader = new AnnouncementReader();
+		AnnouncementReader reader = new AnnouncementReader(log, new ProcessMetrics());
 		String key = AnnouncementFormat.write(GUARD, Optional.empty()).key();
 		KvEntry first = new KvEntry(key, AnnouncementFormat.write(GUARD, Optional.empty()).value(), 3);
 		KvEntry malformed = new KvEntry(key + "-malformed", "[1]", 4);
-		assertThat(reader.read(new KvSnapshot(4, List.of(first, malformed)), log))
+		assertThat(reader.read(new KvSnapshot(4, List.of(first, malformed))))
 			.containsOnly(Map.entry(GUARD.name(), GUARD));
 		Member moved = new Member(GUARD.name(), new Incarnation(8), new PeerAddress("10.1.0.15", 7720));
 		KvEntry second = new KvEntry(key, AnnouncementFormat.write(moved, Optional.empty()).value(), 5);
-		assertThat(reader.read(new KvSnapshot(5, List.of(second)), log)).containsOnly(Map.entry(GUARD.name(), moved));
-		assertThat(reader.read(new KvSnapshot(6, List.of()), log)).isEmpty();
+		assertThat(reader.read(new KvSnapshot(5, List.of(second)))).containsOnly(Map.entry(GUARD.name(), moved));
+		assertThat(reader.read(new KvSnapshot(6, List.of()))).isEmpty();
 	}
 
 	@Example
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
@@ -37,9 +37,12 @@
 import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.core.run.RunOutcome;
+import io.coriandermux.daemon.log.LogEvent;
+import io.coriandermux.daemon.log.RecentEvent;
 import io.coriandermux.daemon.settings.BatchEntrySettings;
 import io.coriandermux.daemon.settings.BatchGuardSettings;
 import io.coriandermux.daemon.settings.ProcessSettings;
+import io.coriandermux.store.KvEntry;
 import io.coriandermux.store.KvSnapshot;
 import io.coriandermux.store.Store;
 import io.coriandermux.store.StoreException;
@@ -123,6 +126,91 @@
 		}
 	}
 
+	// Guards against a guard that ignores every report of its endpoint as stale, because
+	// another writer stored one with a later start time or a higher sequence under the
+	// key of the guard.
+	@Example
+	void servesAlthoughTheStoreHoldsAReportThatIsOutOfRange() throws Exception {
+		String valid = "{\"address\":\"" + HOST
+				+ "\",\"port\":1,\"incarnation\":1,\"endpoint\":{\"id\":\"i-1\",\"born\":1,"
+				+ "\"sequence\":1,\"pool\":\"orders\",\"millicores\":0,\"memoryMb\":1,\"accelerators\":0,\"labels\":[]}}";
+		this.store.put(CONFIG_KEY, "1", 0, Optional.empty());
+		for (String odd : List.of(valid.replace("\"born\":1", "\"born\":" + Long.MAX_VALUE),
+				valid.replace("\"born\":1", "\"born\":1e300"), valid.replace("\"born\":1", "\"born\":9007199254740991"),
+				valid.replace("\"sequence\":1", "\"sequence\":" + Long.MAX_VALUE),
+				valid.replace("\"millicores\":0", "\"millicores\":" + Long.MIN_VALUE))) {
+			String key = AnnouncementFormat.PREFIX + "guard/guard-1";
+			long revision = this.store.readPrefix(key).entry(key).map(KvEntry::revision).orElse(0L);
+			this.store.put(key, odd, revision, Optional.empty());
+			try (BatchGuardShell guard = guard(); BatchEntryShell entry = entry("entry-1", this.store)) {
+				awaitEvent(guard, LogEvent.ANNOUNCED);
+				awaitEvent(guard, LogEvent.VALUE_MALFORMED);
+				assertThat(guard.onHeartbeat(report())).isTrue();
+				awaitReady(entry);
+				assertThat(submit(entry, "b").get(30, TimeUnit.SECONDS).verdict()).isEqualTo(BatchVerdict.COMPLETED);
+			}
+		}
+	}
+
+	// Guards against an entry that serves nothing, because another writer stored odd
+	// entries among the announcements.
+	@Example
+	void servesAlthoughTheListHoldsOddAnnouncements() throws Exception {
+		this.store.put(CONFIG_KEY, "1", 0, Optional.empty());
+		String prefix = AnnouncementFormat.PREFIX + "guard/";
+		this.store.put(prefix + "a-deep", "[".repeat(100_000), 0, Optional.empty());
+		this.store.put(prefix + "b-number", announcement(HOST, "1".repeat(5000)), 0, Optional.empty());
+		this.store.put(prefix + "c-port", announcement(HOST, "65536"), 0, Optional.empty());
+		this.store.put(prefix + "d-name", announcement("guard.invalid", "7720"), 0, Optional.empty());
+		this.store.put(prefix + "e-text", announcement("1".repeat(100_000), "7720"), 0, Optional.empty());
+		this.store.put(prefix, announcement(HOST, "7720"), 0, Optional.empty());
+		this.store.put(AnnouncementFormat.PREFIX + "GUARD/guard-1", announcement(HOST, "7720"), 0, Optional.empty());
+		this.store.put(AnnouncementFormat.PREFIX + "observer/x", announcement(HOST, "7720"), 0, Optional.empty());
+		this.store.put(AnnouncementFormat.PREFIX + "entry/entry-1", announcement(HOST, "7720"), 0, Optional.empty());
+		try (BatchEntryShell entry = entry("entry-1", this.store); BatchGuardShell guard = guard()) {
+			assertThat(guard.onHeartbeat(report())).isTrue();
+			await(() -> entry.gateway().isReady());
+			assertThat(submit(entry, "b1").get(30, TimeUnit.SECONDS).verdict()).isEqualTo(BatchVerdict.COMPLETED);
+			assertThat(entry.context().log().recentEvents())
+				.filteredOn((event) -> event.number() == LogEvent.VALUE_MALFORMED.number())
+				.hasSize(8);
+			assertThat(entry.context().log().recentEvents())
+				.noneMatch((event) -> event.number() == LogEvent.LINK_FAULT.number());
+		}
+	}
+
+	// Guards against a link that is replaced again and again, because another
+	// announcement
+	// names the address of its guard or that of the entry itself.
+	@Example
+	void keepsItsLinkWhenOtherAnnouncementsNameTheSameAddress() throws Exception {
+		this.store.put(CONFIG_KEY, "1", 0, Optional.empty());
+		try (BatchEntryShell entry = entry("entry-1", this.store); BatchGuardShell guard = guard()) {
+			assertThat(guard.onHeartbeat(report())).isTrue();
+			await(() -> entry.gateway().isReady());
+			String other = AnnouncementFormat.PREFIX + "guard/guard-2";
+			String self = AnnouncementFormat.PREFIX + "entry/entry-2";
+			this.store.put(other, announcement(HOST, String.valueOf(guard.peerPort())), 0, Optional.empty());
+			this.store.put(self, announcement(HOST, String.valueOf(entry.peerPort())), 0, Optional.empty());
+			await(() -> entry.context()
+				.log()
+				.recentEvents()
+				.stream()
+				.filter((event) -> event.number() == LogEvent.LINK_FAULT.number())
+				.map(RecentEvent::subject)
+				.distinct()
+				.count() == 3);
+			assertThat(submit(entry, "b1").get(30, TimeUnit.SECONDS).verdict()).isEqualTo(BatchVerdict.COMPLETED);
+			assertThat(entry.context().log().recentEvents())
+				.filteredOn((event) -> event.number() == LogEvent.LINK_UP.number())
+				.hasSize(1);
+		}
+	}
+
+	private static String announcement(String address, String port) {
+		return "{\"address\":\"" + address + "\",\"port\":" + port + ",\"incarnation\":1}";
+	}
+
 	// Guards against an entry that applies no later configuration, because an exception
 	// about one document ended the thread that parses the documents of other entries.
 	@Example
@@ -152,6 +240,27 @@
 		}
 	}
 
+	private static void awaitReady(BatchEntryShell entry) throws InterruptedException {
+		for (int count = 0; count < 3000 && !entry.gateway().isReady(); count++) {
+			new CountDownLatch(1).await(10, TimeUnit.MILLISECONDS);
+		}
+		assertThat(entry.gateway().isReady()).isTrue();
+	}
+
+	private static void awaitEvent(BatchGuardShell guard, LogEvent expected) throws InterruptedException {
+		for (int count = 0; count < 3000; count++) {
+			if (guard.context()
+				.log()
+				.recentEvents()
+				.stream()
+				.anyMatch((event) -> event.number() == expected.number())) {
+				return;
+			}
+			new CountDownLatch(1).await(10, TimeUnit.MILLISECONDS);
+		}
+		assertThat(guard.context().log().recentEvents()).extracting(RecentEvent::name).contains(expected.name());
+	}
+
 	private CompletableFuture<BatchAnswer> submit(BatchEntryShell entry, String id) {
 		CompletableFuture<BatchAnswer> answer = new CompletableFuture<>();
 		BatchRequest request = new BatchRequest(new BatchId(id), "spec",
