Limit the amounts in messages of peers

Cause: the amounts of resources in messages were not checked, so an amount near the limits of 64 bits reached sums that overflow. Change: sender and receiver refuse amounts beyond 2^50.

--- a/wire/src/main/java/io/coriandermux/wire/FieldReader.java
+++ b/wire/src/main/java/io/coriandermux/wire/FieldReader.java
@@ -56,6 +56,15 @@
 		return value;
 	}
 
+	// An amount is negative where more of a resource is used than there is.
+	long amount() throws IOException, CodecException {
+		long value = this.unpacker.unpackLong();
+		if (value < -WireLimits.AMOUNT || value > WireLimits.AMOUNT) {
+			throw new CodecException("the amount " + value + " exceeds its limit of " + WireLimits.AMOUNT);
+		}
+		return value;
+	}
+
 	boolean flag() throws IOException {
 		return this.unpacker.unpackBoolean();
 	}
--- a/wire/src/main/java/io/coriandermux/wire/FieldWriter.java
+++ b/wire/src/main/java/io/coriandermux/wire/FieldWriter.java
@@ -23,6 +23,13 @@
 		this.packer.packLong(value);
 	}
 
+	void amount(long value) throws IOException, CodecException {
+		if (value < -WireLimits.AMOUNT || value > WireLimits.AMOUNT) {
+			throw new CodecException("the amount " + value + " exceeds its limit of " + WireLimits.AMOUNT);
+		}
+		number(value);
+	}
+
 	void flag(boolean value) throws IOException {
 		this.packer.packBoolean(value);
 	}
--- a/wire/src/main/java/io/coriandermux/wire/RunMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/RunMessages.java
@@ -97,14 +97,14 @@
 		return new RunId(new BatchId(in.name()), in.count(), in.count(), in.count());
 	}
 
-	private static void writeAmounts(FieldWriter out, ResourceAmounts amounts) throws IOException {
-		out.number(amounts.millicores());
-		out.number(amounts.memoryMb());
-		out.number(amounts.accelerators());
+	private static void writeAmounts(FieldWriter out, ResourceAmounts amounts) throws IOException, CodecException {
+		out.amount(amounts.millicores());
+		out.amount(amounts.memoryMb());
+		out.amount(amounts.accelerators());
 	}
 
 	private static ResourceAmounts readAmounts(FieldReader in) throws IOException, CodecException {
-		return new ResourceAmounts(in.number(), in.number(), in.number());
+		return new ResourceAmounts(in.amount(), in.amount(), in.amount());
 	}
 
 	private static void writeStart(FieldWriter out, StartRun start) throws IOException, CodecException {
--- a/wire/src/main/java/io/coriandermux/wire/WireLimits.java
+++ b/wire/src/main/java/io/coriandermux/wire/WireLimits.java
@@ -38,6 +38,11 @@
 	/** Maximum number of elements of any other list. */
 	static final int ELEMENTS = 65_536;
 
+	/**
+	 * Largest amount of a resource. The sum of a thousand such amounts fits into 64 bits.
+	 */
+	static final long AMOUNT = 1L << 50;
+
 	private WireLimits() {
 	}
 
--- a/wire/src/test/java/io/coriandermux/wire/MessageCodecTests.java
+++ b/wire/src/test/java/io/coriandermux/wire/MessageCodecTests.java
@@ -1,5 +1,6 @@
 package io.coriandermux.wire;
 
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
@@ -8,8 +9,12 @@
 import io.coriandermux.core.id.AttemptId;
 import io.coriandermux.core.id.Epoch;
 import io.coriandermux.core.id.Partition;
+import io.coriandermux.core.id.PoolName;
+import io.coriandermux.core.message.EndpointChanged;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.Start;
+import io.coriandermux.core.run.EndpointLoad;
+import io.coriandermux.core.run.ResourceAmounts;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -65,6 +70,29 @@
 		assertThatExceptionOfType(CodecException.class).isThrownBy(() -> this.codec.encode(start));
 	}
 
+	// Guards against amounts whose sums overflow at the receiver.
+	@Example
+	void rejectsAmountsOutOfRange() throws CodecException {
+		ResourceAmounts valid = new ResourceAmounts(WireLimits.AMOUNT, 1, 1);
+		for (long odd : new long[] { Long.MAX_VALUE, Long.MIN_VALUE, WireLimits.AMOUNT + 1 }) {
+			assertThatExceptionOfType(CodecException.class)
+				.isThrownBy(() -> this.codec.encode(changed(new ResourceAmounts(odd, 1, 1))));
+		}
+		byte[] bytes = this.codec.encode(changed(valid));
+		int position = 0;
+		while (ByteBuffer.wrap(bytes).getLong(position) != WireLimits.AMOUNT) {
+			position++;
+		}
+		ByteBuffer.wrap(bytes).putLong(position, WireLimits.AMOUNT + 1);
+		assertThatExceptionOfType(CodecException.class).isThrownBy(() -> this.codec.decode(bytes, 0, bytes.length))
+			.withMessageContaining("exceeds its limit");
+	}
+
+	private static EndpointChanged changed(ResourceAmounts capacity) {
+		return new EndpointChanged(
+				new EndpointLoad(new PoolName("orders"), Set.of(), capacity, ResourceAmounts.NONE, true), 1);
+	}
+
 	@Example
 	void rejectsALengthThatExceedsTheReceivedBytes() {
 		byte[] fence = { (byte) 0x93, 1, 14, (byte) 0xdd, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff };
