--- a/daemon/src/main/java/io/coriandermux/daemon/log/EventLog.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/EventLog.java
@@ -26,6 +26,12 @@
 	 */
 	private static final int MAX_RECENT_RUN_EVENTS = 8192;
 
+	/**
+	 * Longest subject or detail. Both may quote what other processes have written, and
+	 * the recent events stay in memory.
+	 */
+	private static final int MAX_CHARACTERS = 4000;
+
 	private static final int FIRST_RUN_EVENT = 2700;
 
 	private static final int LAST_RUN_EVENT = 2799;
@@ -84,7 +90,9 @@
 		}
 	}
 
-	private void record(int number, String name, LogLevel level, String subject, String detail) {
+	private void record(int number, String name, LogLevel level, String fullSubject, String fullDetail) {
+		String subject = shorten(fullSubject);
+		String detail = shorten(fullDetail);
 		Moment now = this.time.now();
 		boolean enabled = this.logger.isEnabled(level.loggerLevel());
 		long suppressed = -1;
@@ -105,6 +113,10 @@
 		}
 	}
 
+	private static String shorten(String text) {
+		return (text.length() > MAX_CHARACTERS) ? text.substring(0, MAX_CHARACTERS) + "..." : text;
+	}
+
 	private static void add(Deque<RecentEvent> events, int limit, RecentEvent event) {
 		if (events.size() == limit) {
 			events.remove();
--- a/daemon/src/test/java/io/coriandermux/daemon/log/EventLogTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/log/EventLogTests.java
@@ -28,6 +28,15 @@
 		assertThat(this.log.recentEvents().get(0).name()).isEqualTo("PEER_LOST");
 	}
 
+	// Guards against a memory that fills with the texts of other writers.
+	@Example
+	void shortensLongTexts() {
+		this.log.record(LogEvent.VALUE_MALFORMED, "s".repeat(100_000), "d".repeat(100_000));
+		RecentEvent event = this.log.recentEvents().get(0);
+		assertThat(event.subject()).hasSize(4003).startsWith("s");
+		assertThat(event.detail()).hasSize(4003).endsWith("d...");
+	}
+
 	@Example
 	void returnsTheEventsOfRunsAndOthersInTheOrderOfTime() {
 		this.log.record(new Notice(NoticeKind.RUN_ORDERED, "b1.0.0#1", "by entry-1"));
