--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -78,7 +78,7 @@
 	/** Peers whose link is established. Used by the decision thread only. */
 	private final ConnectedPeers connectedPeers;
 
-	private final AnnouncementReader announcements = new AnnouncementReader();
+	private final AnnouncementReader announcements;
 
 	private final TablesExchange exchange;
 
@@ -86,7 +86,7 @@
 	 * Parses the documents that other entries send, because parsing would block the
 	 * decision thread for too long.
 	 */
-	private final Worker documentParser = new Worker("tables");
+	private final Worker documentParser;
 
 	private final SessionConfirmations confirmations = new SessionConfirmations(this::checkCallers, this::confirm);
 
@@ -111,6 +111,8 @@
 				new BatchProcess.EventHandlers(this::placeTasks, this::tick, new Listener(), (previous) -> {
 				}));
 		this.context = this.process.context();
+		this.announcements = new AnnouncementReader(this.context.log(), this.context.metrics());
+		this.documentParser = new Worker("tables", this.context.health());
 		this.loop = this.process.loop();
 		this.links = this.process.links();
 		this.connectedPeers = new ConnectedPeers(this.links::send);
@@ -231,7 +233,7 @@
 	}
 
 	private void onMembersChanged(KvSnapshot snapshot) {
-		Map<PeerName, Member> members = this.announcements.read(snapshot, this.context.log());
+		Map<PeerName, Member> members = this.announcements.read(snapshot);
 		this.loop.put(() -> updateLinks(members));
 	}
 
