--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
@@ -3,7 +3,6 @@
 import java.util.function.Consumer;
 
 import net.jqwik.api.Example;
-import net.jqwik.api.Tag;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,7 +23,6 @@
 	// Hypothesis 2: the caller's connection is half open, so that the entry confirms the
 	// session of a run whose caller has submitted the batch to another entry.
 	@Example
-	@Tag("known-red")
 	void aBatchWhoseCallerHasGivenUpUnnoticedRunsAtOneEntryOnly() {
 		for (long ageMillis = 20; ageMillis <= 1_500; ageMillis += 40) {
 			ClusterModel cluster = ClusterModel.small();
@@ -39,7 +37,6 @@
 	// Hypothesis 3: an entry reads a request after its caller has given up, and learns of
 	// that later still.
 	@Example
-	@Tag("known-red")
 	void aRequestThatLayUnreadUntilItsCallerGaveUpStartsNothing() {
 		for (long pauseMillis = 200; pauseMillis <= 2_800; pauseMillis += 100) {
 			assertOneRunOfAnUnreadRequest(pauseMillis, NEVER_MILLIS);
@@ -116,9 +113,9 @@
 		for (long silentMillis = 100; silentMillis <= 2_500; silentMillis += 100) {
 			long silent = silentMillis;
 			assertJobsRunOnce("entry hears nothing for " + silentMillis + " ms", (cluster) -> cluster.guards()
-				.forEach((guard) -> cluster.link(cluster.entry(0), guard).silenceToEntry(silent)));
+				.forEach((guard) -> cluster.link(cluster.entry(0), guard).silenceToFirst(silent)));
 			assertJobsRunOnce("guard hears nothing for " + silentMillis + " ms", (cluster) -> cluster.guards()
-				.forEach((guard) -> cluster.link(cluster.entry(0), guard).silenceToGuard(silent)));
+				.forEach((guard) -> cluster.link(cluster.entry(0), guard).silenceToSecond(silent)));
 		}
 	}
 
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
@@ -30,10 +30,24 @@
 	/** Key prefix of the announcements. */
 	static final String PREFIX = "coriandermux/members/";
 
+	/**
+	 * Protocol of this build. A process closes the connection when it receives a message
+	 * type that it does not know, so an entry sends messages of a later protocol only to
+	 * entries that have announced it. 1: all types up to the exchange of the
+	 * configuration, and the value of announcements without this field. 2: the hand-over
+	 * of batches.
+	 */
+	static final int PROTOCOL = 2;
+
+	private static final String PROTOCOL_FIELD = "protocol";
+
 	private static final String ENDPOINT = "endpoint";
 
 	private static final int MAX_PORT = 65_535;
 
+	/** Bounds the version; a later one than that of this build is valid. */
+	private static final int MAX_PROTOCOL = 1_000_000;
+
 	/** Limits the length of the text in messages; an IP address has at most 45. */
 	private static final int MAX_ADDRESS_CHARACTERS = 64;
 
@@ -53,7 +67,8 @@
 			.createObjectNode()
 			.put("address", member.address().host())
 			.put("port", member.address().port())
-			.put("incarnation", member.incarnation().value());
+			.put("incarnation", member.incarnation().value())
+			.put(PROTOCOL_FIELD, member.protocol());
 		report.ifPresent((value) -> write(node.putObject(ENDPOINT), value));
 		return new KvEntry(key, node.toString(), 0);
 	}
@@ -120,8 +135,10 @@
 		catch (InvalidAddressException ex) {
 			throw new MalformedValueException(ex.getMessage());
 		}
+		// Announcements of the first protocol have no such field.
+		int protocol = node.has(PROTOCOL_FIELD) ? (int) JsonInput.number(node, PROTOCOL_FIELD, 1, MAX_PROTOCOL) : 1;
 		return new Member(name, new Incarnation(JsonInput.number(node, "incarnation", 0, JsonInput.MAX_INTEGER)),
-				address);
+				address, protocol);
 	}
 
 	// The name of the role is compared exactly: with other spellings a second key would
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/OddValueTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/OddValueTests.java
@@ -56,7 +56,7 @@
 	private static final long NOW = 1_000_000;
 
 	private static final Member GUARD = new Member(new PeerName(PeerRole.GUARD, "guard-1"), new Incarnation(7),
-			new PeerAddress("10.1.0.14", 7720));
+			new PeerAddress("10.1.0.14", 7720), 2);
 
 	private static final EndpointReport REPORT = new EndpointReport(new EndpointIncarnation("i-1", 17), 4,
 			new PoolName("orders"), Set.of("a"), new ResourceAmounts(64_000, 1024, 2), false);
@@ -110,7 +110,10 @@
 				value.replace("10.1.0.14", "0.0.0.0"), value.replace("10.1.0.14", "1".repeat(100_000)),
 				value.replace("\"incarnation\":7", "\"incarnation\":7.5"),
 				value.replace("\"incarnation\":7", "\"incarnation\":9223372036854775807"),
-				value.replace("\"incarnation\":7", "\"incarnation\":-7"), value + "x", value + value,
+				value.replace("\"incarnation\":7", "\"incarnation\":-7"),
+				value.replace("\"protocol\":2", "\"protocol\":0"),
+				value.replace("\"protocol\":2", "\"protocol\":4294967298"),
+				value.replace("\"protocol\":2", "\"protocol\":\"2\""), value + "x", value + value,
 				value.replace("{\"address\"", "{\"port\":1,\"address\"") }) {
 			assertThatExceptionOfType(MalformedValueException.class)
 				.isThrownBy(() -> AnnouncementFormat.readMember(new KvEntry(ANNOUNCEMENT.key(), odd, 1)))
