Count restarts after a kill of all entries as disturbance

Change: each restart counts as a disturbance. Why the proxy did not know that the entry had refused it was not found.

--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -445,6 +445,8 @@
 			sleep(restart.getKey() - waitedMillis);
 			waitedMillis = restart.getKey();
 			restart.getValue().start();
+			// On a busy machine this takes longer than the fault was announced for.
+			extendDisturbance(SETTLE_MILLIS);
 		}
 	}
 
