Impair connections that the soak's proxy is still opening

Cause: aLateEndFollowsTheBytesAfterADelay failed once: the target had accepted the connection, but the proxy did not know it as open yet and left it out of the impairment. Change: such a connection is impaired like the others.

--- a/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
@@ -423,10 +423,9 @@
 			}
 		}
 
+		// Also a connection that the target has accepted and that the loop does not know
+		// as open yet is impaired.
 		void impair(Mode next, ResetSide side, long delayMillis, long seed) {
-			if (this.target.isConnectionPending()) {
-				return;
-			}
 			this.ownMode = next;
 			this.impairment = seed;
 			this.closeDelayMillis = delayMillis;
@@ -438,10 +437,11 @@
 			if (!silenced.ended) {
 				end(silenced, true);
 			}
+			updateInterest();
 		}
 
 		void release(long seed) {
-			if (this.ownMode == null || this.impairment != seed || this.target.isConnectionPending()) {
+			if (this.ownMode == null || this.impairment != seed) {
 				return;
 			}
 			this.ownMode = null;
