Raise the guard's fencing token after an unanswered order

Callers could have a task run twice: an order that its endpoint had not answered was carried out 2 s later with a lease that counts from then, and renewed the lease of runs that the guard counted as lapsed, or that the entry counted as ended with a guard that stood still.

Only a higher fencing token makes an endpoint refuse such an order, and the token of a guard never rose while it lived. It now rises by 1 ms for an order without an answer, once for all orders that carried the same token. The next answered order shuts out all before it, which takes less than the 2 s after which late orders are carried out. An order that the guard has shut out itself no longer raises the token by a minute.

aLateOrderDoesNotRenewALeaseThatTheGuardCountsAsExpired failed before.

--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -36,6 +36,9 @@
 
 	final long requestedNanos;
 
+	/** Fencing token of the start order. */
+	final long startToken;
+
 	private final Set<EntryId> previousEntries = new LinkedHashSet<>();
 
 	private EntryId entry;
@@ -62,6 +65,8 @@
 
 	private int stopOrders;
 
+	private long stopToken;
+
 	private boolean startOverdue;
 
 	private boolean foundActive;
@@ -72,7 +77,8 @@
 
 	private EndProof endProof;
 
-	HeldRun(RunId run, EntryId entry, ResourceAmounts needs, long nowNanos) {
+	HeldRun(RunId run, EntryId entry, ResourceAmounts needs, long startToken, long nowNanos) {
+		this.startToken = startToken;
 		this.run = run;
 		this.entry = entry;
 		this.needs = needs;
@@ -238,6 +244,18 @@
 		return this.stopOrders;
 	}
 
+	/**
+	 * Returns the fencing token of the last stop order.
+	 * @return the token, 0 if no stop order was sent
+	 */
+	long stopToken() {
+		return this.stopToken;
+	}
+
+	void setStopToken(long token) {
+		this.stopToken = token;
+	}
+
 	int stopOrders() {
 		return this.stopOrders;
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -30,9 +30,6 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
-	/** A fencing token that the endpoint refuses is raised by one minute. */
-	private static final long TOKEN_STEP_MILLIS = 60_000;
-
 	/**
 	 * Minimum interval between two periodic rounds of load messages to the entries. When
 	 * a run ends or is refused, its entry receives the load immediately.
@@ -92,7 +89,7 @@
 
 	private boolean shuttingDown;
 
-	private long token;
+	private final FencingToken token;
 
 	private long lastLoadNanos;
 
@@ -109,7 +106,7 @@
 	public LeaseManager(LeaseSettings settings, long token, EndpointOrders orders, EntryChannel entries,
 			Consumer<Notice> notices) {
 		this.settings = settings;
-		this.token = token;
+		this.token = new FencingToken(token);
 		this.orders = orders;
 		this.entries = entries;
 		this.notices = notices;
@@ -241,7 +238,7 @@
 			case INVALID -> endUnstarted(held, RunOutcome.INVALID, now);
 			case SUPERSEDED -> endUnstarted(held, RunOutcome.SUPERSEDED, now);
 			case FENCED -> {
-				raiseToken();
+				onRefused(held.startToken);
 				endUnstarted(held, RunOutcome.NOT_STARTED, now);
 			}
 			case NOT_SENT -> {
@@ -259,6 +256,7 @@
 
 	private void markUnconfirmed(HeldRun held) {
 		held.markUnconfirmed();
+		shutOut(held.startToken);
 		sendNotice(NoticeKind.ORDER_UNANSWERED, held.run.toString(),
 				"start, after " + (this.nowNanos - held.requestedNanos) / NANOS_PER_MILLI + " ms");
 	}
@@ -288,10 +286,13 @@
 	public void onStopAnswered(RunId run, OrderResult result, OptionalLong clockMillis, Moment now) {
 		this.nowNanos = now.nanos();
 		recordAnswer(clockMillis, now);
+		Optional<HeldRun> held = this.runs.find(run);
 		if (result == OrderResult.FENCED) {
-			raiseToken();
+			held.ifPresent((stopped) -> onRefused(stopped.stopToken()));
+		}
+		else if (result == OrderResult.UNANSWERED) {
+			held.ifPresent((stopped) -> shutOut(stopped.stopToken()));
 		}
-		Optional<HeldRun> held = this.runs.find(run);
 		this.runNotices.onStopAnswered(run, result, held.orElse(null), now.nanos());
 		if (held.isPresent() && result == OrderResult.ACCEPTED) {
 			held.get().confirmStop(this.polls.nextNumber());
@@ -314,7 +315,10 @@
 		checkForSuspension(now);
 		this.polls.onAnswered(poll);
 		if (result == OrderResult.FENCED) {
-			raiseToken();
+			onRefused(this.polls.tokenOf(poll));
+		}
+		else if (result == OrderResult.UNANSWERED) {
+			shutOut(this.polls.tokenOf(poll));
 		}
 		if (result == OrderResult.OTHER_LIFE && !this.settled) {
 			// The restored incarnation has ended. The next heartbeat identifies
@@ -345,7 +349,7 @@
 		if (!this.settled && noOrphans) {
 			this.settled = true;
 			sendNotice(NoticeKind.ENDPOINT_SETTLED, this.endpointIncarnation.toString(),
-					"no run of a previous guard is active, token " + this.token);
+					"no run of a previous guard is active, token " + this.token.value());
 			this.runEndReporter.onSettled();
 			sendLoads(true, now);
 		}
@@ -490,6 +494,9 @@
 			.lastSentNanos() >= (this.settings.pollMillis() + this.settings.callMillis()) * NANOS_PER_MILLI;
 		if (needsPoll() && (!this.polls.isPollPending() || overdue)
 				&& now.nanos() - this.polls.lastSentNanos() >= callNanos / 2) {
+			if (this.polls.isPollPending()) {
+				shutOut(this.polls.lastToken());
+			}
 			poll(now, this.settled ? this.settings.pollMillis() : 0, true);
 		}
 		else if (this.report != null && !this.deregistered && this.clock.isReadingOld(now.nanos())
@@ -529,7 +536,7 @@
 	 */
 	public LeaseStatus status() {
 		return new LeaseStatus((this.endpointIncarnation != null) ? this.endpointIncarnation.toString() : "",
-				this.settled, isAccepting(), this.runs.size(), this.sessions.size(), this.token);
+				this.settled, isAccepting(), this.runs.size(), this.sessions.size(), this.token.value());
 	}
 
 	/**
@@ -581,7 +588,7 @@
 		if (until.isPresent()) {
 			this.runNotices.onLeaseGranted(this.runs.list(), now.nanos());
 		}
-		this.orders.poll(terms(until), this.polls.nextPoll(waitMillis, now.nanos()));
+		this.orders.poll(terms(until), this.polls.nextPoll(waitMillis, this.token.value(), now.nanos()));
 	}
 
 	private void stopAll(EntryId entry, StopCause cause, Moment now) {
@@ -605,9 +612,18 @@
 		this.sessions.find(held.entry()).ifPresent((session) -> sendLoad(held.entry(), session));
 	}
 
-	private void raiseToken() {
-		this.token += TOKEN_STEP_MILLIS;
-		sendNotice(NoticeKind.TOKEN_RAISED, String.valueOf(this.endpointIncarnation), "to " + this.token);
+	private void shutOut(long orderToken) {
+		if (this.token.shutOut(orderToken)) {
+			sendNotice(NoticeKind.TOKEN_RAISED, String.valueOf(this.endpointIncarnation),
+					"to " + this.token.value() + ", an order was not answered");
+		}
+	}
+
+	private void onRefused(long orderToken) {
+		if (this.token.onRefused(orderToken)) {
+			sendNotice(NoticeKind.TOKEN_RAISED, String.valueOf(this.endpointIncarnation),
+					"to " + this.token.value() + ", the endpoint has received a higher one");
+		}
 	}
 
 	// Only polls tell which incarnation has answered, so only their readings of the clock
@@ -618,7 +634,7 @@
 	}
 
 	private LeaseTerms terms(OptionalLong until) {
-		return new LeaseTerms(this.endpointIncarnation.id(), this.token, until);
+		return new LeaseTerms(this.endpointIncarnation.id(), this.token.value(), until);
 	}
 
 	private boolean isAccepting() {
--- a/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
+++ b/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
@@ -12,6 +12,11 @@
 
 	private long lastSentNanos;
 
+	private long lastToken;
+
+	/** Number of the first poll that was sent with the last token. */
+	private long firstWithLastToken;
+
 	private long highestReceivedEnd;
 
 	private long lastAcknowledgedEnd;
@@ -25,12 +30,29 @@
 		this.lastAcknowledgedEnd = 0;
 	}
 
-	Poll nextPoll(long waitMillis, long nowNanos) {
+	Poll nextPoll(long waitMillis, long token, long nowNanos) {
 		this.lastSent++;
+		if (token != this.lastToken) {
+			this.lastToken = token;
+			this.firstWithLastToken = this.lastSent;
+		}
 		this.lastSentNanos = nowNanos;
 		return new Poll(this.lastSent, this.highestReceivedEnd, waitMillis);
 	}
 
+	long lastToken() {
+		return this.lastToken;
+	}
+
+	/**
+	 * Returns the fencing token that a poll was sent with.
+	 * @param poll the poll
+	 * @return the token, 0 if later polls were sent with another one
+	 */
+	long tokenOf(Poll poll) {
+		return (poll.number() >= this.firstWithLastToken) ? this.lastToken : 0;
+	}
+
 	void onAnswered(Poll poll) {
 		this.lastAnswered = Math.max(this.lastAnswered, poll.number());
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -105,7 +105,7 @@
 	}
 
 	void start(EntryId entry, StartRun start, LeaseTerms lease, long nowNanos) {
-		this.runs.put(start.run(), new HeldRun(start.run(), entry, start.needs(), nowNanos));
+		this.runs.put(start.run(), new HeldRun(start.run(), entry, start.needs(), lease.token(), nowNanos));
 		this.used = this.used.plus(start.needs());
 		this.orders.start(lease, start.run(), start.spec());
 	}
@@ -144,6 +144,7 @@
 		}
 		held.markStopping(outcome, nowNanos);
 		LeaseTerms lease = this.terms.get();
+		held.setStopToken(lease.token());
 		this.notices.onStopSent(held, lease.token(), nowNanos);
 		this.orders.stop(lease, held.run);
 	}
--- a/core/src/test/java/io/coriandermux/core/lease/LateOrderTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LateOrderTests.java
@@ -1,6 +1,7 @@
 package io.coriandermux.core.lease;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.coriandermux.core.run.RunId;
@@ -64,6 +65,45 @@
 		assertThat(this.harness.stops).isEmpty();
 	}
 
+	// Guards against an order that is carried out seconds later although the endpoint has
+	// answered since: a poll that renews the lease beyond what the guard counts with.
+	@Example
+	void raisesTheTokenOnceForAllUnansweredOrdersThatCarriedIt() {
+		RunId other = LeaseManagerHarness.run("other", 1);
+		this.harness.requestStart(LATE);
+		this.harness.requestStart(other);
+		this.harness.answerStart(LATE, OrderResult.UNANSWERED);
+		this.harness.answerStart(other, OrderResult.UNANSWERED);
+		assertThat(lastLease().token()).isEqualTo(8);
+		failLastPoll(OrderResult.UNANSWERED);
+		this.harness.advance(100);
+		assertThat(lastLease().token()).isEqualTo(9);
+	}
+
+	// Guards against a token that exceeds those of the following guards by minutes,
+	// because an order was refused that the guard itself has shut out.
+	@Example
+	void doesNotRaiseTheTokenByAMinuteForAnOrderThatItHasShutOut() {
+		RunId other = LeaseManagerHarness.run("other", 1);
+		this.harness.requestStart(LATE);
+		this.harness.requestStart(other);
+		this.harness.answerStart(LATE, OrderResult.UNANSWERED);
+		this.harness.answerStart(other, OrderResult.FENCED);
+		assertThat(this.harness.leaseManager.status().token()).isEqualTo(8);
+		assertThat(this.harness.outcomes(other)).containsExactly(RunOutcome.NOT_STARTED);
+		failLastPoll(OrderResult.FENCED);
+		assertThat(this.harness.leaseManager.status().token()).isEqualTo(60_008);
+	}
+
+	private LeaseTerms lastLease() {
+		return this.harness.leases.get(this.harness.leases.size() - 1);
+	}
+
+	private void failLastPoll(OrderResult result) {
+		this.harness.leaseManager.onPollAnswered(this.harness.polls.get(this.harness.polls.size() - 1), result,
+				Optional.empty(), this.harness.now());
+	}
+
 	private void answerUsualStarts() {
 		for (int i = 0; i < 10; i++) {
 			RunId run = LeaseManagerHarness.run("usual" + i, 1);
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
@@ -146,6 +146,30 @@
 		assertNoTaskRanTwice(this.model);
 	}
 
+	// A start order that is carried out 2 s late is refused for lack of room, but renews
+	// the lease of an endpoint that answers nothing at that time. The guard reports the
+	// other run there as lapsed at the end of the lease that it knows of.
+	@Example
+	void aLateOrderDoesNotRenewALeaseThatTheGuardCountsAsExpired() {
+		for (long muteAfterMillis = 960; muteAfterMillis <= 1_560; muteAfterMillis += 20) {
+			ClusterModel cluster = ClusterModel.small();
+			cluster.setFatesFromNextStart(
+					(kind, run) -> (kind == OrderKind.START) ? OrderFate.lateBy(2_000, true) : OrderFate.NORMAL);
+			cluster.submit(cluster.entry(0), "first", 50);
+			cluster.advance(100);
+			cluster.clearFates();
+			cluster.advance(300);
+			cluster.submit(cluster.entry(0), JOB, 8_000);
+			cluster.advance(muteAfterMillis);
+			assertThat(cluster.holder(JOB)).contains(cluster.affected());
+			cluster.affected().endpoint().setFates((kind, run) -> OrderFate.LOST);
+			cluster.advance(1_500);
+			cluster.clearFates();
+			cluster.advance(4_000);
+			assertNoTaskRanTwice(cluster);
+		}
+	}
+
 	// A lease is computed from a reading of a slow clock that is 10 s old, so the
 	// endpoint holds it for longer than the guard assumes.
 	@Example
