Poll the endpoint with the new token before it reports

The guard knows the address of its endpoint from its settings and lacks only the id of the incarnation. It now polls every 250 ms from its first tick until the endpoint has reported, without a lease and without naming an incarnation. The endpoint then refuses orders with the lower tokens of previous guards; a refused token is raised as before. Such an answer settles nothing. If endpoints refuse such polls, guards behave as before.

--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -484,6 +484,7 @@
 		boolean pinged = this.sessions.pingIfDue(this.runs.activeEntries(), now.nanos());
 		long callNanos = this.settings.callMillis() * NANOS_PER_MILLI;
 		checkPendingStarts(now);
+		shutOutPreviousGuards(now);
 		this.runs.repeatStops(now.nanos());
 		if (!this.runs.isEmpty() && this.clock.isExpired(now.nanos())) {
 			if (this.runs.list().stream().anyMatch(HeldRun::isStarted)) {
@@ -597,6 +598,16 @@
 		this.orders.poll(terms(until), this.polls.nextPoll(waitMillis, this.token.value(), now.nanos()));
 	}
 
+	// Before the endpoint has reported, its incarnation is not known. It carries out late
+	// orders of previous guards until it has received a poll with the token of this one.
+	// The polls are repeated, because another incarnation may have started since.
+	private void shutOutPreviousGuards(Moment now) {
+		if (this.endpointIncarnation == null
+				&& now.nanos() - this.polls.lastSentNanos() >= this.settings.pollMillis() * NANOS_PER_MILLI) {
+			this.orders.poll(terms(OptionalLong.empty()), this.polls.nextPoll(0, this.token.value(), now.nanos()));
+		}
+	}
+
 	private void stopAll(EntryId entry, StopCause cause, Moment now) {
 		List<HeldRun> entryRuns = this.runs.list().stream().filter((held) -> held.entry().equals(entry)).toList();
 		if (!entryRuns.isEmpty()) {
@@ -626,7 +637,8 @@
 	}
 
 	private LeaseTerms terms(OptionalLong until) {
-		return new LeaseTerms(this.endpointIncarnation.id(), this.token.value(), until);
+		String endpointId = (this.endpointIncarnation != null) ? this.endpointIncarnation.id() : "";
+		return new LeaseTerms(endpointId, this.token.value(), until);
 	}
 
 	private boolean isAccepting() {
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
@@ -340,6 +340,23 @@
 		assertThat(successor.starts).containsExactly(OTHER_RUN);
 	}
 
+	// Guards against late orders of the previous guard that the endpoint carries out
+	// until
+	// it reports.
+	@Example
+	void pollsWithItsTokenBeforeTheEndpointHasReported() {
+		LeaseManagerHarness harness = new LeaseManagerHarness();
+		harness.advance(10);
+		assertThat(harness.polls).hasSize(1);
+		assertThat(harness.leases).containsExactly(new LeaseTerms("", 7, OptionalLong.empty()));
+		harness.leaseManager.onPollAnswered(harness.polls.get(0), OrderResult.FENCED, Optional.empty(), harness.now());
+		harness.advance(250);
+		assertThat(harness.polls).hasSize(2);
+		assertThat(harness.leases.get(1).token()).isEqualTo(60_007);
+		harness.answerPoll(List.of(), List.of());
+		assertThat(harness.leaseManager.status().settled()).isFalse();
+	}
+
 	@Example
 	void discardsARestoredReportOfAnEndedIncarnation() {
 		LeaseManagerHarness harness = LeaseManagerHarness.settled();
