Count no unconfirmed run as ended with its guard

Callers could have a task run twice: a guard died or stood still before it noticed that a start order was not answered, the entry counted the run as ended 1.7 s later and started the task elsewhere, and the endpoint carried out the order 2 s after it was sent.

An entry now counts a run as ended by time only if it knows that the run had started. Otherwise it waits for the report of the next guard of the endpoint, whose token shuts out the order, for at most 14 s, after which the order can no longer be carried out and its lease is over; the caller is answered unfinished when its wait ends before. The entry knows it from the load messages: a load accounts for the entry's orders up to the first whose start is not confirmed, and its free resources include those of the later ones, which the entry subtracts itself. No message and no field is added.

Three tests of the dispatcher now confirm the start before the guard is lost, because they check the time for such runs.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -45,6 +45,12 @@
 	 */
 	private static final long NOT_STARTED_BACKOFF_NANOS = 50 * NANOS_PER_MILLI;
 
+	/**
+	 * A start order that was not answered may be carried out 12 s later, and its lease
+	 * lasts up to 1 s. If the guard does not return before, the run has ended by then.
+	 */
+	private static final long LATE_START_END_NANOS = 14_000 * NANOS_PER_MILLI;
+
 	private static final long RETRY_AFTER_MILLIS = 1000;
 
 	/** Bounds the length of a notice about many runs. */
@@ -387,7 +393,8 @@
 		endpoint.get().setConnected(false);
 		long certainEndNanos = endpoint.get().certainEndNanos(this.settings, now.nanos());
 		List<BatchTask> unconfirmed = this.placer.placedTasksAt(guard);
-		unconfirmed.forEach((task) -> task.setCertainEnd(certainEndNanos));
+		unconfirmed.forEach((task) -> task.onGuardLost(endpoint.get(), certainEndNanos,
+				Math.max(certainEndNanos, now.nanos() + LATE_START_END_NANOS)));
 		if (!unconfirmed.isEmpty()) {
 			sendNotice(NoticeKind.RUNS_UNKNOWN, guard.value(),
 					unconfirmed.size() + " unconfirmed runs, considered ended in "
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
@@ -204,6 +204,7 @@
 		this.drainRate += drained;
 		endpoint.health().onTaskPlaced();
 		long order = endpoint.addOrder(needs);
+		task.setOrder(endpoint, order);
 		this.guards.send(endpoint.guard(), new StartRun(run, batch.request().spec(), needs, order));
 		this.notices.accept(new Notice(NoticeKind.RUN_PLACED, run.toString(),
 				"at " + endpoint.guard() + " incarnation " + endpoint.incarnation().value() + ", free "
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
@@ -39,6 +39,10 @@
 
 	private GuardId guard;
 
+	private PooledEndpoint placedAt;
+
+	private long order;
+
 	private long placedNanos;
 
 	private long certainEndNanos;
@@ -78,6 +82,32 @@
 		return this.failures;
 	}
 
+	/**
+	 * Records the order that was sent to start the run.
+	 * @param endpoint the endpoint with the incarnation of its guard
+	 * @param number number of the order in the session with that incarnation
+	 */
+	void setOrder(PooledEndpoint endpoint, long number) {
+		this.placedAt = endpoint;
+		this.order = number;
+	}
+
+	/**
+	 * Sets the time at which the run has certainly ended after the loss of its guard. If
+	 * a later incarnation of the guard is lost, an earlier time remains.
+	 * @param endpoint the endpoint with the incarnation of the lost guard
+	 * @param startedEndNanos the time if the run is known to have started
+	 * @param unstartedEndNanos the time if it may start late
+	 */
+	void onGuardLost(PooledEndpoint endpoint, long startedEndNanos, long unstartedEndNanos) {
+		if (this.placedAt == endpoint) {
+			this.certainEndNanos = endpoint.isConfirmed(this.order) ? startedEndNanos : unstartedEndNanos;
+		}
+		else if (this.certainEndNanos == 0) {
+			this.certainEndNanos = unstartedEndNanos;
+		}
+	}
+
 	long placedNanos() {
 		return this.placedNanos;
 	}
@@ -90,10 +120,6 @@
 		return this.certainEndNanos;
 	}
 
-	void setCertainEnd(long nanos) {
-		this.certainEndNanos = nanos;
-	}
-
 	void clearCertainEnd() {
 		this.certainEndNanos = 0;
 	}
--- a/core/src/main/java/io/coriandermux/core/dispatch/PooledEndpoint.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/PooledEndpoint.java
@@ -36,6 +36,8 @@
 
 	private long lastOrder;
 
+	private long confirmedOrder;
+
 	private boolean connected = true;
 
 	private boolean confirmed;
@@ -89,6 +91,7 @@
 	void updateLoad(EndpointLoad newLoad, long countedOrder, long nowNanos) {
 		this.loadUpdatedNanos = nowNanos;
 		this.load = newLoad;
+		this.confirmedOrder = Math.max(this.confirmedOrder, countedOrder);
 		while (!this.uncountedOrders.isEmpty() && this.uncountedOrders.peek().number <= countedOrder) {
 			this.uncountedOrders.remove();
 		}
@@ -116,6 +119,16 @@
 		this.confirmedNanos = nowNanos;
 	}
 
+	/**
+	 * Returns whether the run of an order is known to have started or to have ended. The
+	 * endpoint may carry out another order late, also without its guard.
+	 * @param order number of the order
+	 * @return whether it is
+	 */
+	boolean isConfirmed(long order) {
+		return order <= this.confirmedOrder;
+	}
+
 	/**
 	 * Returns the time at which a lost guard has certainly stopped the runs of its
 	 * session. The time of the loss alone is not sufficient: an entry that resumes after
--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -43,6 +43,8 @@
 
 	private EntryId entry;
 
+	private long order;
+
 	private State state = State.START_PENDING;
 
 	private RunOutcome stopOutcome = RunOutcome.STOPPED;
@@ -77,7 +79,8 @@
 
 	private EndProof endProof;
 
-	HeldRun(RunId run, EntryId entry, ResourceAmounts needs, long startToken, long nowNanos) {
+	HeldRun(RunId run, EntryId entry, long order, ResourceAmounts needs, long startToken, long nowNanos) {
+		this.order = order;
 		this.startToken = startToken;
 		this.run = run;
 		this.entry = entry;
@@ -104,7 +107,16 @@
 		return this.previousEntries;
 	}
 
-	void reassign(EntryId next) {
+	/**
+	 * Returns the number of the entry's order to start the run.
+	 * @return the number
+	 */
+	long order() {
+		return this.order;
+	}
+
+	void reassign(EntryId next, long nextOrder) {
+		this.order = nextOrder;
 		this.previousEntries.add(this.entry);
 		this.previousEntries.remove(next);
 		this.entry = next;
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -428,7 +428,7 @@
 			// The caller has resubmitted its batch to another entry.
 			this.runNotices.onReordered(start.run(), entry,
 					"held for " + held.get().entry() + " in state " + held.get().state());
-			held.get().reassign(entry);
+			held.get().reassign(entry, start.order());
 			return;
 		}
 		if (this.runEndReporter.hasEnded(start.run())) {
@@ -667,9 +667,14 @@
 			return;
 		}
 		session.setLoadSent(true);
-		EndpointLoad load = new EndpointLoad(this.report.pool(), this.report.labels(), this.report.capacity(), free(),
+		// The load accounts only for orders up to the first whose run may not have
+		// started,
+		// so the entry knows which of its runs may start late if this guard is lost.
+		long counted = this.runs.lastConfirmedOrder(entry, session.lastOrder());
+		ResourceAmounts free = free().plus(this.runs.used(entry, counted, session.lastOrder()));
+		EndpointLoad load = new EndpointLoad(this.report.pool(), this.report.labels(), this.report.capacity(), free,
 				isAccepting());
-		this.entries.send(entry, new EndpointChanged(load, session.lastOrder()));
+		this.entries.send(entry, new EndpointChanged(load, counted));
 	}
 
 	private void expireSessions(Moment now) {
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -100,12 +100,43 @@
 		return this.runs.values().stream().map(HeldRun::entry).collect(Collectors.toSet());
 	}
 
+	/**
+	 * Returns the number of the newest order of an entry up to which all of its runs are
+	 * known to have started or to have ended.
+	 * @param entry the entry
+	 * @param lastOrder number of the last order that was received from it
+	 * @return the number
+	 */
+	long lastConfirmedOrder(EntryId entry, long lastOrder) {
+		return this.runs.values()
+			.stream()
+			.filter((held) -> held.entry().equals(entry) && !held.isStarted())
+			.mapToLong((held) -> held.order() - 1)
+			.reduce(lastOrder, Math::min);
+	}
+
+	/**
+	 * Returns the resources of an entry's runs in a range of its orders.
+	 * @param entry the entry
+	 * @param after number of the order before the first one
+	 * @param last number of the last order
+	 * @return the resources
+	 */
+	ResourceAmounts used(EntryId entry, long after, long last) {
+		return this.runs.values()
+			.stream()
+			.filter((held) -> held.entry().equals(entry) && held.order() > after && held.order() <= last)
+			.map((held) -> held.needs)
+			.reduce(ResourceAmounts.NONE, ResourceAmounts::plus);
+	}
+
 	List<HeldRun> list() {
 		return new ArrayList<>(this.runs.values());
 	}
 
 	void start(EntryId entry, StartRun start, LeaseTerms lease, long nowNanos) {
-		this.runs.put(start.run(), new HeldRun(start.run(), entry, start.needs(), lease.token(), nowNanos));
+		this.runs.put(start.run(),
+				new HeldRun(start.run(), entry, start.order(), start.needs(), lease.token(), nowNanos));
 		this.used = this.used.plus(start.needs());
 		this.orders.start(lease, start.run(), start.spec());
 	}
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchDispatcherTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchDispatcherTests.java
@@ -5,7 +5,9 @@
 import java.util.Set;
 
 import io.coriandermux.core.id.GuardId;
+import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.message.HeldRuns;
+import io.coriandermux.core.message.RunEnded;
 import io.coriandermux.core.message.SessionPing;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.ResourceAmounts;
@@ -124,6 +126,7 @@
 	void retriesNoTaskOfALostGuardBeforeItsRunHasCertainlyEnded() {
 		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
 		fixture.submit("b1", 1);
+		fixture.reportLoad("g1", DispatcherFixture.CAPACITY, DispatcherFixture.CAPACITY, Set.of(), 1);
 		fixture.dispatcher.onGuardLost(new GuardId("g1"), DispatcherFixture.INCARNATION, fixture.now());
 		fixture.connectGuard("g2", DispatcherFixture.CAPACITY, Set.of());
 		fixture.advance(490);
@@ -132,6 +135,37 @@
 		assertThat(fixture.starts("g2")).hasSize(1);
 	}
 
+	// Guards against a start order that the endpoint carries out seconds later, beside
+	// the
+	// retry, because its guard was lost before it knew whether the run had started.
+	@Example
+	void retriesNoTaskOfALostGuardWhoseStartIsNotConfirmed() {
+		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
+		CallerRef caller = fixture.submit("b1", 1);
+		fixture.reportLoad("g1", DispatcherFixture.CAPACITY, DispatcherFixture.CAPACITY, Set.of(), 0);
+		fixture.dispatcher.onGuardLost(new GuardId("g1"), DispatcherFixture.INCARNATION, fixture.now());
+		fixture.connectGuard("g2", DispatcherFixture.CAPACITY, Set.of());
+		fixture.advance(13_900);
+		assertThat(fixture.starts("g2")).isEmpty();
+		assertThat(fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	// Guards against a task that waits although the next guard reports that it was not
+	// started.
+	@Example
+	void retriesAnUnconfirmedTaskWhenTheNextGuardReportsThatItWasNotStarted() {
+		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
+		fixture.submit("b1", 1);
+		fixture.dispatcher.onGuardLost(new GuardId("g1"), DispatcherFixture.INCARNATION, fixture.now());
+		fixture.connectGuard("g2", DispatcherFixture.CAPACITY, Set.of());
+		Incarnation next = new Incarnation(DispatcherFixture.INCARNATION.value() + 1);
+		fixture.dispatcher.onGuardConnected(new GuardId("g1"), next);
+		fixture.dispatcher.onMessage(new GuardId("g1"), next,
+				new RunEnded(fixture.starts("g1").get(0), RunOutcome.NOT_STARTED, 0), fixture.now());
+		fixture.advance(20);
+		assertThat(fixture.starts("g2")).hasSize(1);
+	}
+
 	@Example
 	void retriesNoTaskWhenItsGuardReconnects() {
 		DispatcherFixture fixture = DispatcherFixture.withGuards("g1");
@@ -149,6 +183,7 @@
 		fixture.dispatcher.onMessage(new GuardId("g1"), DispatcherFixture.INCARNATION, new SessionPing(1),
 				fixture.now());
 		fixture.submit("b1", 1);
+		fixture.reportLoad("g1", DispatcherFixture.CAPACITY, DispatcherFixture.CAPACITY, Set.of(), 1);
 		fixture.dispatcher.onGuardLost(new GuardId("g1"), DispatcherFixture.INCARNATION, fixture.now());
 		fixture.connectGuard("g2", DispatcherFixture.CAPACITY, Set.of());
 		fixture.advance(1_690);
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchNoticesTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchNoticesTests.java
@@ -1,6 +1,7 @@
 package io.coriandermux.core.dispatch;
 
 import java.util.List;
+import java.util.Set;
 
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.notice.Notice;
@@ -67,6 +68,7 @@
 	@Example
 	void reportsTheReleaseOfARunAtALostGuard() {
 		this.fixture.submit("b1", 1);
+		this.fixture.reportLoad("g1", DispatcherFixture.CAPACITY, DispatcherFixture.CAPACITY, Set.of(), 1);
 		this.fixture.dispatcher.onGuardLost(GUARD, DispatcherFixture.INCARNATION, this.fixture.now());
 		this.fixture.advance(2_500);
 		assertThat(details(NoticeKind.RUN_RELEASED)).hasSize(1);
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
@@ -92,6 +92,31 @@
 		}
 	}
 
+	// Hypothesis 3: the guard dies, or stands still, before it notices that a start order
+	// is not answered, and the entry counts the run as ended with the guard.
+	@Example
+	void theLossOfAGuardDoesNotEndARunWhoseOrderMayStillBeCarriedOut() {
+		for (long sincePingMillis = 0; sincePingMillis < 500; sincePingMillis += 50) {
+			for (boolean dies : new boolean[] { true, false }) {
+				ClusterModel cluster = ClusterModel.small();
+				cluster.advance(sincePingMillis);
+				cluster.setFatesFromNextStart(
+						(kind, run) -> (kind == OrderKind.START) ? OrderFate.lateBy(2_000, true) : OrderFate.NORMAL);
+				cluster.submit(cluster.entry(0), JOB, 4_000);
+				cluster.advance(10);
+				if (dies) {
+					cluster.affected().kill();
+					cluster.clock().afterMillis(3_000, cluster.affected()::start);
+				}
+				else {
+					cluster.affected().pause(3_000, true);
+				}
+				cluster.advance(8_000);
+				assertNoTaskRanTwice(cluster);
+			}
+		}
+	}
+
 	// Hypothesis 4: polls renew the lease until the session of a dead entry expires, and
 	// a guard that stands still from then on stops nothing before the caller is back.
 	@Example
