Let the older of two entries give up a batch that both hold

Two entries that accept a batch before either knows of the other, for example because one stood still or their link was away, both went on with it: BATCH_HELD_TWICE was reported and nothing done, and an entry that woke up could start a task again beside the run of the other one. Change: HeldBatches carries the age of each batch. An entry with the older request gives the batch up at once, as if its release had been requested. If an announcement is so late that both take theirs for older, both answer unfinished, and the caller submits it again.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -11,6 +11,7 @@
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
 import io.coriandermux.core.message.EndpointChanged;
+import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.HeldRuns;
 import io.coriandermux.core.message.Message;
@@ -380,6 +381,7 @@
 	public void onEntryMessage(EntryId entry, Incarnation incarnation, Message message, Moment now) {
 		if (message instanceof HeldBatches announcement) {
 			this.handover.onHeldBatches(new EntryIncarnation(entry, incarnation), announcement);
+			announcement.held().forEach((held) -> resolveConflict(entry, held, now));
 			serveReadyRequests(now);
 		}
 		else if (message instanceof ReleaseBatch release) {
@@ -387,6 +389,21 @@
 		}
 	}
 
+	// Two entries may accept a batch before either knows of the other. The caller has
+	// submitted it to the older one first, so it waits at the other one, if at all.
+	private void resolveConflict(EntryId entry, HeldBatch held, Moment now) {
+		Batch batch = this.batches.get(held.batch());
+		if (batch == null || batch.isAnswered()) {
+			return;
+		}
+		long ageMillis = (now.nanos() - batch.sentNanos()) / NANOS_PER_MILLI;
+		this.notices.send(NoticeKind.BATCH_HELD_TWICE, held.batch().value(),
+				"announced by " + entry + " with age " + held.ageMillis() + " ms, age here " + ageMillis + " ms");
+		if (ageMillis > held.ageMillis()) {
+			releaseBatch(entry, held.batch(), now);
+		}
+	}
+
 	private void releaseBatch(EntryId entry, BatchId id, Moment now) {
 		String reason = "the caller has submitted the batch to entry " + entry;
 		this.handover.waiting().removeAll(id).forEach((request) -> answerUnfinished(request, reason, now));
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
@@ -83,7 +83,7 @@
 
 	void onConnected(EntryIncarnation peer, Moment now) {
 		this.holdings.onConnected(peer, now.nanos());
-		this.announcer.onConnected(peer.entry());
+		this.announcer.onConnected(peer.entry(), now.nanos());
 	}
 
 	void onLost(EntryIncarnation peer, Moment now) {
@@ -102,10 +102,6 @@
 	 */
 	void onHeldBatches(EntryIncarnation peer, HeldBatches announcement) {
 		this.holdings.update(peer, announcement);
-		announcement.held()
-			.stream()
-			.filter((batch) -> this.heldHere.test(batch))
-			.forEach((batch) -> sendNotice(NoticeKind.BATCH_HELD_TWICE, batch, "announced by " + peer.entry()));
 		if (announcement.complete()) {
 			// The request may have been lost with the previous link.
 			this.waiting.waitingFor(peer)
--- a/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.run.BatchId;
@@ -47,7 +48,8 @@
 
 	private final Set<EntryId> peers = new LinkedHashSet<>();
 
-	private final Set<BatchId> announced = new LinkedHashSet<>();
+	/** The announced batches with the time since which each is in progress. */
+	private final Map<BatchId, Long> announced = new LinkedHashMap<>();
 
 	/** The entries that wait for the end of a batch. */
 	private final Map<BatchId, Set<EntryId>> releaseRequests = new LinkedHashMap<>();
@@ -60,9 +62,14 @@
 		this.channel = channel;
 	}
 
-	void onConnected(EntryId peer) {
+	/**
+	 * Sends all announced batches to an entry on a new link.
+	 * @param peer the entry
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void onConnected(EntryId peer, long nowNanos) {
 		this.peers.add(peer);
-		this.channel.send(peer, new HeldBatches(true, List.of(), List.copyOf(this.announced)));
+		this.channel.send(peer, new HeldBatches(true, List.of(), ages(this.announced, nowNanos)));
 	}
 
 	void onLost(EntryId peer) {
@@ -88,25 +95,32 @@
 	 */
 	void announce(Map<BatchId, Long> held, long nowNanos) {
 		this.checkedNanos = nowNanos;
-		List<BatchId> added = held.entrySet()
-			.stream()
-			.filter((batch) -> nowNanos - batch.getValue() >= MIN_AGE_NANOS)
-			.map(Map.Entry::getKey)
-			.filter((batch) -> !this.announced.contains(batch))
-			.limit(Math.max(0, MAX_ANNOUNCED - this.announced.size()))
-			.toList();
+		Map<BatchId, Long> added = new LinkedHashMap<>();
+		held.forEach((batch, sinceNanos) -> {
+			if (nowNanos - sinceNanos >= MIN_AGE_NANOS && !this.announced.containsKey(batch)
+					&& this.announced.size() + added.size() < MAX_ANNOUNCED) {
+				added.put(batch, sinceNanos);
+			}
+		});
 		if (added.isEmpty() && nowNanos - this.sentNanos < MAX_END_DELAY_NANOS) {
 			return;
 		}
-		List<BatchId> ended = this.announced.stream().filter((batch) -> !held.containsKey(batch)).toList();
+		List<BatchId> ended = this.announced.keySet().stream().filter((batch) -> !held.containsKey(batch)).toList();
 		ended.forEach(this.announced::remove);
-		this.announced.addAll(added);
+		this.announced.putAll(added);
 		if (!added.isEmpty() || !ended.isEmpty()) {
 			this.sentNanos = nowNanos;
-			sendToAll(new HeldBatches(false, ended, added));
+			sendToAll(new HeldBatches(false, ended, ages(added, nowNanos)));
 		}
 	}
 
+	private static List<HeldBatch> ages(Map<BatchId, Long> batches, long nowNanos) {
+		return batches.entrySet()
+			.stream()
+			.map((batch) -> new HeldBatch(batch.getKey(), (nowNanos - batch.getValue()) / NANOS_PER_MILLI))
+			.toList();
+	}
+
 	/**
 	 * Records that an entry waits for the end of a batch.
 	 * @param peer the entry
--- a/core/src/main/java/io/coriandermux/core/dispatch/PeerHoldings.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/PeerHoldings.java
@@ -78,7 +78,7 @@
 			holding.batches.clear();
 		}
 		announcement.ended().forEach(holding.batches::remove);
-		holding.batches.addAll(announcement.held());
+		announcement.held().forEach((held) -> holding.batches.add(held.batch()));
 	}
 
 	/**
--- a/core/src/main/java/io/coriandermux/core/message/HeldBatches.java
+++ b/core/src/main/java/io/coriandermux/core/message/HeldBatches.java
@@ -10,8 +10,8 @@
  *
  * @param complete whether this list replaces all earlier ones, as on a new connection
  * @param ended batches that the sender had announced and whose runs have all ended
- * @param held batches that the sender runs, stops or may start
+ * @param held batches that the sender runs, stops or may start, with their ages
  */
-public record HeldBatches(boolean complete, List<BatchId> ended, List<BatchId> held) implements Message {
+public record HeldBatches(boolean complete, List<BatchId> ended, List<HeldBatch> held) implements Message {
 
 }
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
@@ -5,6 +5,7 @@
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.Incarnation;
+import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.ReleaseBatch;
@@ -181,6 +182,40 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	@Example
+	void announcesTheAgeOfABatch() {
+		connect(PEER, FIRST);
+		submitWithAge(500);
+		this.fixture.advance(700);
+		connect(OTHER, FIRST);
+		assertThat(this.fixture.peerMessages).last()
+			.isEqualTo(new DispatcherFixture.PeerMessage(OTHER,
+					new HeldBatches(true, List.of(), List.of(new HeldBatch(BATCH, 1_200)))));
+	}
+
+	// Guards against two runs that go on after two entries have accepted a batch without
+	// knowing of each other.
+	@Example
+	void givesUpABatchThatAnotherEntryHasAcceptedLater() {
+		connect(PEER, FIRST);
+		CallerRef caller = this.fixture.submit("b1", 1);
+		this.fixture.advance(1_500);
+		receive(PEER, new HeldBatches(false, List.of(), List.of(new HeldBatch(BATCH, 400))));
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+		assertThat(this.fixture.stops()).hasSize(1);
+		assertThat(this.fixture.notices(NoticeKind.BATCH_HELD_TWICE)).hasSize(1);
+	}
+
+	@Example
+	void keepsABatchThatAnotherEntryHasAcceptedEarlier() {
+		connect(PEER, FIRST);
+		CallerRef caller = this.fixture.submit("b1", 1);
+		this.fixture.advance(500);
+		receive(PEER, new HeldBatches(false, List.of(), List.of(new HeldBatch(BATCH, 1_900))));
+		assertThat(this.fixture.verdict(caller)).isNull();
+		assertThat(this.fixture.stops()).isEmpty();
+	}
+
 	// Guards against a batch that starts after its cancellation was answered.
 	@Example
 	void cancelsABatchThatWaitsForAnotherEntry() {
@@ -225,14 +260,20 @@
 		this.fixture.dispatcher.onEntryMessage(entry, FIRST, message, this.fixture.now());
 	}
 
+	// The tests compare announcements by their batches; ages have tests of their own.
 	private static HeldBatches list(boolean complete, List<BatchId> ended, List<BatchId> held) {
-		return new HeldBatches(complete, ended, held);
+		return new HeldBatches(complete, ended, held.stream().map((batch) -> new HeldBatch(batch, 0)).toList());
+	}
+
+	private static Message withoutAges(Message message) {
+		return (message instanceof HeldBatches list)
+				? list(list.complete(), list.ended(), list.held().stream().map(HeldBatch::batch).toList()) : message;
 	}
 
 	private List<Message> sent(EntryId entry) {
 		return this.fixture.peerMessages.stream()
 			.filter((sent) -> sent.entry().equals(entry))
-			.map(DispatcherFixture.PeerMessage::message)
+			.map((sent) -> withoutAges(sent.message()))
 			.toList();
 	}
 
--- a/core/src/test/java/io/coriandermux/core/dispatch/HandoverCostTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/HandoverCostTests.java
@@ -58,7 +58,7 @@
 		for (int entry = 0; entry < ENTRIES; entry++) {
 			HeldBatchAnnouncer announcer = new HeldBatchAnnouncer((peer, message) -> this.messages++);
 			for (int peer = 1; peer < ENTRIES; peer++) {
-				announcer.onConnected(new EntryId("e" + peer));
+				announcer.onConnected(new EntryId("e" + peer), 0);
 			}
 			this.messages -= ENTRIES - 1;
 			Map<BatchId, Long> held = new LinkedHashMap<>();
--- a/wire/src/main/java/io/coriandermux/wire/RunMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/RunMessages.java
@@ -7,6 +7,7 @@
 
 import io.coriandermux.core.id.PoolName;
 import io.coriandermux.core.message.EndpointChanged;
+import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.HeldRuns;
 import io.coriandermux.core.message.ReleaseBatch;
@@ -93,8 +94,15 @@
 			new MessageType<>(HELD_BATCHES, HeldBatches.class, HELD_BATCHES_FIELDS, (out, message) -> {
 				out.flag(message.complete());
 				writeBatches(out, message.ended());
-				writeBatches(out, message.held());
-			}, (in) -> new HeldBatches(in.flag(), readBatches(in), readBatches(in))),
+				out.list(message.held(), WireLimits.ELEMENTS, (element, held) -> {
+					element.arrayHeader(2);
+					element.name(held.batch().value());
+					element.number(held.ageMillis());
+				});
+			}, (in) -> new HeldBatches(in.flag(), readBatches(in), in.list(WireLimits.ELEMENTS, (element) -> {
+				element.arrayHeader(2, "a held batch");
+				return new HeldBatch(new BatchId(element.name()), element.number());
+			}))),
 			new MessageType<>(RELEASE_BATCH, ReleaseBatch.class, 1, (out, message) -> out.name(message.batch().value()),
 					(in) -> new ReleaseBatch(new BatchId(in.name()))));
 
--- a/wire/src/test/java/io/coriandermux/wire/SampleMessages.java
+++ b/wire/src/test/java/io/coriandermux/wire/SampleMessages.java
@@ -44,6 +44,7 @@
 import io.coriandermux.core.message.Forward;
 import io.coriandermux.core.message.ForwardAnswer;
 import io.coriandermux.core.message.Heartbeat;
+import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.HeldRuns;
 import io.coriandermux.core.message.HomesPull;
@@ -121,7 +122,7 @@
 					new ResourceAmounts(-9, 10, 11), true), 12),
 			new SessionPing(13), new SessionPong(14), new TablesPush(15, BODY), new TablesOffer(16), new TablesPull(17),
 			new HeldBatches(true, List.of(new BatchId("5c0e7a21d94b36f8")),
-					List.of(new BatchId("a"), new BatchId("b"))),
+					List.of(new HeldBatch(new BatchId("a"), 18), new HeldBatch(new BatchId("b"), 19))),
 			new ReleaseBatch(new BatchId("5c0e7a21d94b36f8")));
 
 	private SampleMessages() {
