Send the load again when a start that it left out is confirmed

A guard was lost, and the entry waited 14 s for the next one to report a run that had been active all the time; its callers got "unfinished", and resubmissions waited at every entry. Cause: a load accounts for orders up to the first unconfirmed one. If it was sent between the order and its answer, no other load followed until another run of that entry started or ended there. Change: a session keeps the order that its last load accounted for, and a load is due when a later one is confirmed. Evidence: accountsForAnOrderInALoadOnlyOnceTheRunHasStarted and accountsForAnUnansweredOrderInALoadOnceAPollListsTheRun failed before and pass; they also fail if loads account for unconfirmed orders, which no test noticed so far. All tests of core pass.

--- a/core/src/main/java/io/coriandermux/core/lease/EntrySession.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EntrySession.java
@@ -22,6 +22,8 @@
 
 	private boolean loadSent;
 
+	private long countedOrder;
+
 	/**
 	 * Creates a session that is not confirmed yet. The time at which the guard notices a
 	 * connection says nothing about when the entry has sent its requests.
@@ -107,4 +109,16 @@
 		this.loadSent = value;
 	}
 
+	/**
+	 * Returns the highest order number that the last load sent to the entry accounts for.
+	 * @return the number, 0 before the first load
+	 */
+	long countedOrder() {
+		return this.countedOrder;
+	}
+
+	void setCountedOrder(long number) {
+		this.countedOrder = number;
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -656,21 +656,29 @@
 			return;
 		}
 		this.sessions.forEach((entry, session) -> {
-			if (toAll || !session.isLoadSent()) {
+			if (toAll || !session.isLoadSent() || isOrderNewlyConfirmed(entry, session)) {
 				sendLoad(entry, session);
 			}
 		});
 	}
 
+	// Otherwise the entry would wait for the next guard to report a run that had started,
+	// if this guard is lost.
+	private boolean isOrderNewlyConfirmed(EntryId entry, EntrySession session) {
+		return session.countedOrder() < session.lastOrder()
+				&& this.runs.lastConfirmedOrder(entry, session.lastOrder()) > session.countedOrder();
+	}
+
 	private void sendLoad(EntryId entry, EntrySession session) {
 		if (this.report == null) {
 			return;
 		}
 		session.setLoadSent(true);
 		// The load accounts only for orders up to the first whose run may not have
-		// started,
-		// so the entry knows which of its runs may start late if this guard is lost.
+		// started, so the entry knows which of its runs may start late if this guard is
+		// lost.
 		long counted = this.runs.lastConfirmedOrder(entry, session.lastOrder());
+		session.setCountedOrder(counted);
 		ResourceAmounts free = free().plus(this.runs.used(entry, counted, session.lastOrder()));
 		EndpointLoad load = new EndpointLoad(this.report.pool(), this.report.labels(), this.report.capacity(), free,
 				isAccepting());
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
@@ -340,9 +340,37 @@
 		assertThat(successor.starts).containsExactly(OTHER_RUN);
 	}
 
+	// Guards against an entry that counts a run as not started for all its life, and
+	// waits for the next guard when this one is lost, and against one that counts a run
+	// as started whose order may still be carried out.
+	@Example
+	void accountsForAnOrderInALoadOnlyOnceTheRunHasStarted() {
+		LeaseManagerHarness harness = LeaseManagerHarness.settled();
+		harness.advance(200);
+		harness.requestStart(RUN);
+		harness.advance(100);
+		assertThat(harness.lastLoad().orElseThrow().order()).isZero();
+		harness.answerStart(RUN, OrderResult.ACCEPTED);
+		harness.advance(100);
+		assertThat(harness.lastLoad().orElseThrow().order()).isEqualTo(1);
+	}
+
+	@Example
+	void accountsForAnUnansweredOrderInALoadOnceAPollListsTheRun() {
+		LeaseManagerHarness harness = LeaseManagerHarness.settled();
+		harness.advance(200);
+		harness.requestStart(RUN);
+		harness.advance(30);
+		harness.answerStart(RUN, OrderResult.UNANSWERED);
+		harness.advance(100);
+		assertThat(harness.lastLoad().orElseThrow().order()).isZero();
+		harness.answerPoll(List.of(new ActiveRun(RUN, 1)), List.of());
+		harness.advance(100);
+		assertThat(harness.lastLoad().orElseThrow().order()).isEqualTo(1);
+	}
+
 	// Guards against late orders of the previous guard that the endpoint carries out
-	// until
-	// it reports.
+	// until it reports.
 	@Example
 	void pollsWithItsTokenBeforeTheEndpointHasReported() {
 		LeaseManagerHarness harness = new LeaseManagerHarness();
@@ -380,9 +408,8 @@
 		assertThat(harness.polls).hasSize(polls + 1);
 	}
 
-	// Guards against a lease that lasts longer than counted because it was computed from
-	// the
-	// clock of an ended incarnation.
+	// Guards against a lease that lasts longer than counted because it was computed
+	// from the clock of an ended incarnation.
 	@Example
 	void ignoresTheClockInALateAnswerOfAFormerIncarnation() {
 		LeaseManagerHarness harness = LeaseManagerHarness.settled();
