Ask an entry that announces a batch while its request waits

A request waited for the entry that had announced its batch; meanwhile a third entry announced it too, and when the first one had released it, the batch was placed beside the runs of the third. Cause: the entries to wait for were fixed when the request began to wait, and were not looked up again when it was served. Change: a request that is served after its wait waits again, and has the batch released, if another entry holds it. Evidence: waitsForAnEntryThatAnnouncesABatchWhileItsRequestWaits failed before and passes.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -179,7 +179,7 @@
 					+ " ms ago, its caller waits " + request.request().waitMillis() + " ms", RETRY_AFTER_MILLIS);
 			return;
 		}
-		if (!request.mayHaveRun() && this.handover.isHeldElsewhere(request.id())) {
+		if (this.handover.isHeldElsewhere(request.id())) {
 			this.handover.defer(request);
 			return;
 		}
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
@@ -1,7 +1,6 @@
 package io.coriandermux.core.dispatch;
 
 import java.util.List;
-import java.util.Optional;
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.Incarnation;
@@ -94,6 +93,22 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against a second run at an entry that has announced the batch while the
+	// request was waiting for another one.
+	@Example
+	void waitsForAnEntryThatAnnouncesABatchWhileItsRequestWaits() {
+		connect(PEER, FIRST);
+		connect(OTHER, FIRST);
+		receive(PEER, list(false, List.of(), List.of(BATCH)));
+		this.fixture.submit("b1", 1);
+		receive(OTHER, list(false, List.of(), List.of(BATCH)));
+		receive(PEER, list(false, List.of(BATCH), List.of()));
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(sent(OTHER)).last().isEqualTo(new ReleaseBatch(BATCH));
+		receive(OTHER, list(false, List.of(BATCH), List.of()));
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
 	@Example
 	void answersAsUnfinishedIfABatchIsNotReleasedWithinTheCallersTimeout() {
 		connect(PEER, FIRST);
