Answer no batch as not run that another entry has announced

An entry refused a batch as not run (429 or 503) for want of room or because of the age of its request, although it knew that another entry had the batch in progress. Change: such a batch is answered as unfinished. Evidence: refusesNoBatchAsNotRunThatAnotherEntryHasAnnounced and refusesNoLateRequestAsNotRunIfAnotherEntryHasAnnouncedTheBatch failed before and pass.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -641,7 +641,8 @@
 				|| this.endpoints.hasAcceptingEndpoint(batch.route().pool(), now.nanos());
 	}
 
-	private void answer(Batch batch, BatchAnswer answer, Moment now) {
+	private void answer(Batch batch, BatchAnswer decided, Moment now) {
+		BatchAnswer answer = withoutFalseRefusal(batch.id(), decided);
 		this.notices.send(NoticeKind.BATCH_ENDED, batch.id().value(), answer.verdict() + " after "
 				+ ageMillis(batch, now) + " ms" + (answer.reason().isEmpty() ? "" : ": " + answer.reason()));
 		batch.callers().forEach((caller) -> {
@@ -690,8 +691,16 @@
 
 	private void refuse(CallerRequest request, BatchVerdict verdict, String reason, long retryAfterMillis) {
 		this.notices.send(NoticeKind.BATCH_REFUSED, request.id().value(), verdict + ": " + reason);
+		BatchAnswer answer = new BatchAnswer(verdict, reason, retryAfterMillis);
 		this.callers.answer(request.caller(), request.mayHaveRun() ? BatchAnswer.of(BatchVerdict.UNFINISHED, reason)
-				: new BatchAnswer(verdict, reason, retryAfterMillis));
+				: withoutFalseRefusal(request.id(), answer));
+	}
+
+	// A batch that another entry has announced may have run there.
+	private BatchAnswer withoutFalseRefusal(BatchId id, BatchAnswer answer) {
+		boolean refused = answer.verdict() == BatchVerdict.OVERLOADED || answer.verdict() == BatchVerdict.UNAVAILABLE;
+		return (refused && this.handover.isHeldElsewhere(id)) ? BatchAnswer.of(BatchVerdict.UNFINISHED, answer.reason())
+				: answer;
 	}
 
 	private void answerUnfinished(CallerRequest request, String reason, Moment now) {
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
@@ -1,6 +1,8 @@
 package io.coriandermux.core.dispatch;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.Incarnation;
@@ -10,6 +12,7 @@
 import io.coriandermux.core.message.ReleaseBatch;
 import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.BatchId;
+import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.core.run.RunOutcome;
 import net.jqwik.api.Example;
 
@@ -109,6 +112,28 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against the answer "not run" for a batch that runs at another entry.
+	@Example
+	void refusesNoBatchAsNotRunThatAnotherEntryHasAnnounced() {
+		this.fixture.reportLoad("g1", DispatcherFixture.CAPACITY, new ResourceAmounts(0, 0, 0), Set.of(), 0);
+		connect(PEER, FIRST);
+		CallerRef caller = this.fixture.submit("b1", 1);
+		receive(PEER, list(false, List.of(), List.of(BATCH)));
+		this.fixture.advance(2_900);
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	// Guards against the answer "not run" for a batch that runs at another entry.
+	@Example
+	void refusesNoLateRequestAsNotRunIfAnotherEntryHasAnnouncedTheBatch() {
+		connect(PEER, FIRST);
+		receive(PEER, list(false, List.of(), List.of(BATCH)));
+		CallerRef caller = this.fixture.submit("/q/b1", new BatchRequest(BATCH, "spec",
+				new TaskGroup(1, DispatcherFixture.NEEDS, 200, "", "", 0), 3_000, Optional.empty())
+			.withAge(2_970));
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
 	@Example
 	void answersAsUnfinishedIfABatchIsNotReleasedWithinTheCallersTimeout() {
 		connect(PEER, FIRST);
