--- a/soak/src/test/java/io/coriandermux/soak/Soak.java
+++ b/soak/src/test/java/io/coriandermux/soak/Soak.java
@@ -56,7 +56,7 @@
 				String[] fields = line.split(" ");
 				passed &= runSeed(Long.parseLong(fields[0]), Long.parseLong(fields[1]) * 1000,
 						Integer.parseInt(fields[2]), Integer.parseInt(fields[3]), new FaultRange(fields[4]),
-						SiteCallers.Load.CLOSED)
+						new SiteCallers.Load(Integer.parseInt(fields[5]), Integer.parseInt(fields[6])))
 					.isEmpty();
 			}
 		}
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -426,9 +426,8 @@
 	}
 
 	// Entries come back at once, as in the record of issue 28, and some guards up to
-	// three
-	// seconds later, as on a loaded machine. Orders of the previous guards are carried
-	// out meanwhile.
+	// three seconds later, as on a loaded machine. Orders of the previous guards are
+	// carried out meanwhile.
 	private void restartAll(List<SystemProcess> processes, Fault fault) throws IOException, InterruptedException {
 		Random choice = new Random(fault.target());
 		Map<Long, SystemProcess> byDelay = new TreeMap<>();
