--- a/soak/src/test/java/io/coriandermux/soak/ProxyLoop.java
+++ b/soak/src/test/java/io/coriandermux/soak/ProxyLoop.java
@@ -6,12 +6,16 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.time.Clock;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 
+import io.coriandermux.wire.SystemTime;
+import io.coriandermux.wire.TimeSource;
+
 /**
  * The thread that forwards the connections of all fault proxies of a run. With 15 entries
  * and 80 guards there are more than 1,200 connections, which needed two threads each.
@@ -20,6 +24,8 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private static final TimeSource CLOCK = new SystemTime(Clock.systemUTC());
+
 	private static final long LAG_INTERVAL_MILLIS = 50;
 
 	private final Selector selector;
@@ -60,7 +66,7 @@
 	}
 
 	static long nowMillis() {
-		return System.nanoTime() / NANOS_PER_MILLI;
+		return CLOCK.now().nanos() / NANOS_PER_MILLI;
 	}
 
 	/**
