--- /dev/null
+++ b/review/src/review/Deployment.java
@@ -0,0 +1,233 @@
+package review;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
+
+/**
+ * A small deployment: the store, entries, and guards with their runners. The processes of
+ * the system are started with the commands of the deploy file.
+ */
+final class Deployment implements AutoCloseable {
+
+	static final String SERVICE = "orders";
+
+	static final String HOST = "jobs.example";
+
+	private final Record record;
+
+	private final Path folder;
+
+	private final StoreServer store = new StoreServer();
+
+	private final Map<String, Node> nodes = new LinkedHashMap<>();
+
+	private final List<RunnerServer> runners = new ArrayList<>();
+
+	private final BiConsumer<String, String> onStarted;
+
+	private final Thread hook = new Thread(this::killAll);
+
+	Deployment(Record record, BiConsumer<String, String> onStarted) throws IOException {
+		this.record = record;
+		this.onStarted = onStarted;
+		this.folder = Files.createTempDirectory("coriandermux-review");
+		Runtime.getRuntime().addShutdownHook(this.hook);
+	}
+
+	/** Writes a configuration with routes that all lead to the service. */
+	void configure(long version, String... prefixes) {
+		List<String> routes = new ArrayList<>();
+		for (String prefix : prefixes) {
+			routes.add("{\"name\":\"r" + routes.size() + "\",\"host\":\"" + HOST + "\",\"prefix\":\"" + prefix
+					+ "\",\"kind\":\"non_idempotent\",\"timeoutMs\":1500,\"completionTargetMs\":60,\"priority\":0,"
+					+ "\"service\":\"" + SERVICE + "\",\"maxAttempts\":3,\"slowdownFactor\":1.6}");
+		}
+		this.store.put("op/config",
+				"{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":[{\"name\":\""
+						+ SERVICE + "\",\"healthPath\":\"/healthz\",\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":"
+						+ "false,\"preconditions\":true,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
+						+ "\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
+		this.record.write("operator writes version " + version + " with " + String.join(" ", prefixes));
+	}
+
+	void addEntry(String name) throws IOException {
+		int callers = freePort();
+		int ready = freePort();
+		start(name, "entry", "", callers, ready,
+				"\"callers\":\"127.0.0.1:" + callers + "\",\"ready\":\"127.0.0.1:" + ready + "\",\"remoteFactor\":1.5");
+	}
+
+	void addGuard(String name) throws IOException {
+		int app = freePort();
+		int control = freePort();
+		this.runners.add(new RunnerServer("i-" + name, SERVICE, app, control, this.record, this.onStarted));
+		start(name, "guard", "127.0.0.1:" + control, 0, 0,
+				"\"endpoint\":\"http://127.0.0.1:" + app + "\",\"maxLeaseMillis\":1000");
+	}
+
+	// The same settings as deploy/*.json.template give, with free ports.
+	private void start(String name, String role, String control, int callers, int ready, String rest)
+			throws IOException {
+		String settings = "{\"id\":\"" + name + "\",\"zone\":\"z\",\"rack\":\"r\",\"address\":\"127.0.0.1\",\"peerPort\":"
+				+ freePort() + ",\"operatorsPort\":" + freePort() + ",\"stores\":[\"http://127.0.0.1:" + this.store.port()
+				+ "\"],\"secret\":\"coriandermux-on-the-platform\"," + rest + ",\"limits\":{\"connections\":1024,"
+				+ "\"drainMillis\":6000}}";
+		Path file = this.folder.resolve(name + ".json");
+		Files.writeString(file, settings);
+		Node node = new Node(command(role, control), file, this.folder.resolve(name + ".log"), callers, ready);
+		this.nodes.put(name, node);
+		start(name);
+	}
+
+	private static List<String> command(String role, String control) throws IOException {
+		List<String> lines = Files.readAllLines(Path.of("deploy/system.toml"));
+		String line = lines.stream()
+			.skip(lines.indexOf("[roles." + role + "]") + 1L)
+			.filter((candidate) -> candidate.startsWith("run = \""))
+			.findFirst()
+			.orElseThrow(() -> new IOException("the deploy file has no role " + role));
+		List<String> words = new ArrayList<>(
+				List.of(line.substring("run = \"".length(), line.lastIndexOf('"')).split(" ")));
+		words.replaceAll((word) -> word.equals("{{listenAddrs.controlPlane}}") ? control : word);
+		return words;
+	}
+
+	void start(String name) throws IOException {
+		Node node = this.nodes.get(name);
+		ProcessBuilder builder = new ProcessBuilder(node.command);
+		builder.environment().put("CORIANDERMUX_CONFIG", node.settings.toString());
+		builder.redirectErrorStream(true);
+		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(node.log.toFile()));
+		node.process = builder.start();
+		this.record.write(name + " starts");
+	}
+
+	/** Sends a signal such as KILL, TERM, STOP, CONT or HUP. */
+	void signal(String name, String signal) throws IOException, InterruptedException {
+		new ProcessBuilder("kill", "-" + signal, String.valueOf(this.nodes.get(name).process.pid())).start().waitFor();
+		this.record.write(name + " gets SIG" + signal);
+	}
+
+	boolean awaitEnd(String name, long millis) throws InterruptedException {
+		boolean ended = this.nodes.get(name).process.waitFor(millis, TimeUnit.MILLISECONDS);
+		if (ended) {
+			this.record.write(name + " has ended with " + this.nodes.get(name).process.exitValue());
+		}
+		return ended;
+	}
+
+	int callers(String entry) {
+		return this.nodes.get(entry).callers;
+	}
+
+	List<String> running() {
+		return this.runners.stream().flatMap((runner) -> runner.running().stream()).toList();
+	}
+
+	boolean isReady(String entry) {
+		try {
+			return Http.send(this.nodes.get(entry).ready, "GET", "/v1/readyz", "127.0.0.1", Map.of(), "", 500)
+				.status() == 200;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	/** Waits until the entries take requests; exits with 2 if they don't. */
+	void awaitReady(String... entries) throws InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(25);
+		for (String entry : entries) {
+			while (!isReady(entry)) {
+				if (System.nanoTime() - endNanos > 0) {
+					this.record.write(entry + " is not ready after 25 s; the case can't run");
+					System.exit(2);
+				}
+				Thread.sleep(50);
+			}
+			this.record.write(entry + " is ready");
+		}
+	}
+
+	/** Sends a request of a client and records it with its answer; status 0 means none. */
+	Http.Reply call(String entry, String method, String path, long deadlineMillis, String body) {
+		this.record.write("client -> " + entry + " " + method + " " + path + " " + body);
+		Http.Reply reply;
+		try {
+			reply = Http.send(callers(entry), method, path, HOST,
+					Map.of("Coriandermux-Deadline-Ms", String.valueOf(deadlineMillis)), body, (int) deadlineMillis);
+		}
+		catch (IOException ex) {
+			reply = new Http.Reply(0, String.valueOf(ex.getMessage()));
+		}
+		this.record.write("client <- " + entry + " " + method + " " + path + " " + reply.status() + " " + reply.body());
+		return reply;
+	}
+
+	static String job(String spec, int count, long estimatedMillis) {
+		return "{\"spec\":\"" + spec + "\",\"phases\":[{\"count\":" + count
+				+ ",\"cpu\":1000,\"memMb\":64,\"estimatedMs\":" + estimatedMillis + "}],\"bestEffort\":true}";
+	}
+
+	static int freePort() throws IOException {
+		try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			return probe.getLocalPort();
+		}
+	}
+
+	private void killAll() {
+		this.nodes.values().forEach((node) -> node.process.destroyForcibly());
+	}
+
+	@Override
+	public void close() throws IOException {
+		killAll();
+		this.runners.forEach(RunnerServer::close);
+		this.store.close();
+		if (System.getenv("KEEP_LOGS") != null) {
+			System.err.println("logs in " + this.folder);
+			return;
+		}
+		try (Stream<Path> files = Files.walk(this.folder)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.deleteIfExists(file);
+			}
+		}
+	}
+
+	private static final class Node {
+
+		private final List<String> command;
+
+		private final Path settings;
+
+		private final Path log;
+
+		private final int callers;
+
+		private final int ready;
+
+		private Process process;
+
+		Node(List<String> command, Path settings, Path log, int callers, int ready) {
+			this.command = command;
+			this.settings = settings;
+			this.log = log;
+			this.callers = callers;
+			this.ready = ready;
+		}
+
+	}
+
+}
