--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -135,6 +135,10 @@
 		return this.runners.stream().flatMap((runner) -> runner.running().stream()).toList();
 	}
 
+	List<RunnerServer> runners() {
+		return this.runners;
+	}
+
 	boolean isReady(String entry) {
 		try {
 			return Http.send(this.nodes.get(entry).ready, "GET", "/v1/readyz", "127.0.0.1", Map.of(), "", 500)
--- a/review/src/review/RunnerServer.java
+++ b/review/src/review/RunnerServer.java
@@ -45,13 +45,21 @@
 
 	private final Record record;
 
-	private final HttpServer server;
+	private final int port;
+
+	private HttpServer server;
 
 	private final ExecutorService threads = Executors.newCachedThreadPool(RunnerServer::daemon);
 
-	private final long bornMillis = System.currentTimeMillis();
+	private final List<JsonNode> lateStarts = new ArrayList<>();
+
+	private boolean lateOrders;
+
+	private boolean crashed;
 
-	private final long startedNanos = System.nanoTime();
+	private long bornMillis;
+
+	private long startedNanos;
 
 	private final Map<String, Run> active = new LinkedHashMap<>();
 
@@ -76,12 +84,66 @@
 		this.guardPort = guardPort;
 		this.record = record;
 		this.onStarted = onStarted;
-		this.server = HttpServer.create(new InetSocketAddress("127.0.0.1", port), 256);
+		this.port = port;
+		startIncarnation();
+		this.threads.execute(() -> repeat(5, this::tick));
+		this.threads.execute(() -> repeat(1_500, this::heartbeat));
+	}
+
+	private void startIncarnation() throws IOException {
+		this.bornMillis = System.currentTimeMillis();
+		this.startedNanos = System.nanoTime();
+		this.server = HttpServer.create(new InetSocketAddress("127.0.0.1", this.port), 256);
 		this.server.setExecutor(this.threads);
 		this.server.createContext("/", this::handle);
 		this.server.start();
-		this.threads.execute(() -> repeat(5, this::tick));
-		this.threads.execute(() -> repeat(1_500, this::heartbeat));
+	}
+
+	/**
+	 * Sets whether start orders get no answer and are carried out when
+	 * {@link #carryOutLateStarts} is called.
+	 * @param late whether they are late from now on
+	 */
+	synchronized void setLateOrders(boolean late) {
+		this.lateOrders = late;
+	}
+
+	synchronized int lateStarts() {
+		return this.lateStarts.size();
+	}
+
+	/** Carries out the start orders that were not answered. */
+	synchronized void carryOutLateStarts() throws InterruptedException {
+		for (JsonNode request : this.lateStarts) {
+			ObjectNode reply = JSON.createObjectNode();
+			int status = decide("/v1/run-start", this.id, request, reply);
+			this.record.write("runner " + this.id + " carries out late: /v1/run-start " + request + " -> " + status + " "
+					+ reply.path("reason").asText());
+		}
+		this.lateStarts.clear();
+	}
+
+	/** Ends the process of the runner: its runs, its connections and all that it knows. */
+	synchronized void crash() {
+		this.crashed = true;
+		this.server.stop(0);
+		this.active.keySet().forEach((task) -> this.record.write("runner " + this.id + " crashes with " + task));
+		this.active.clear();
+		this.latest.clear();
+		this.ended.clear();
+		this.endCount = 0;
+		this.highestToken = 0;
+		this.leaseUntilMillis = 0;
+		this.sequence = 0;
+		this.record.write("runner " + this.id + " has crashed");
+	}
+
+	/** Starts the runner again under its id and at its address. */
+	synchronized void restart() throws IOException {
+		this.crashed = false;
+		startIncarnation();
+		this.record.write("runner " + this.id + " is back under its id, born " + this.bornMillis);
+		this.threads.execute(this::heartbeat);
 	}
 
 	private static Thread daemon(Runnable work) {
@@ -107,9 +169,14 @@
 	}
 
 	private void heartbeat() {
+		synchronized (this) {
+			if (this.crashed) {
+				return;
+			}
+		}
 		ObjectNode report = JSON.createObjectNode()
 			.put("service", this.service)
-			.put("address", "127.0.0.1:" + this.server.getAddress().getPort())
+			.put("address", "127.0.0.1:" + this.port)
 			.put("zone", "z")
 			.put("version", "v1")
 			.put("slots", SLOTS)
@@ -138,10 +205,14 @@
 			try (InputStream in = exchange.getRequestBody()) {
 				body = in.readAllBytes();
 			}
+			JsonNode request = JSON.readTree(new String(body, StandardCharsets.UTF_8));
+			if (isLate(exchange.getRequestURI().getPath(), request)) {
+				return;
+			}
 			ObjectNode reply = JSON.createObjectNode();
 			int status = answer(exchange.getRequestURI().getPath(),
 					exchange.getRequestHeaders().getFirst("Coriandermux-Expected-Instance"),
-					JSON.readTree(new String(body, StandardCharsets.UTF_8)), reply);
+					request, reply);
 			byte[] bytes = reply.toString().getBytes(StandardCharsets.UTF_8);
 			exchange.getResponseHeaders().set("Content-Type", "application/json");
 			exchange.sendResponseHeaders(status, bytes.length);
@@ -152,6 +223,19 @@
 		}
 	}
 
+	// A late order gets no answer: the connection stays silent until its sender closes it.
+	private boolean isLate(String path, JsonNode request) throws InterruptedException {
+		synchronized (this) {
+			if (!this.lateOrders || !path.equals("/v1/run-start")) {
+				return false;
+			}
+			this.lateStarts.add(request);
+			this.record.write("runner " + this.id + " leaves unanswered: " + path + " " + request);
+		}
+		Thread.sleep(1_000);
+		return true;
+	}
+
 	private synchronized int answer(String path, String expected, JsonNode request, ObjectNode reply)
 			throws InterruptedException {
 		int status = decide(path, expected, request, reply);
