--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -45,20 +45,27 @@
 		Runtime.getRuntime().addShutdownHook(this.hook);
 	}
 
-	/** Writes a configuration with routes that all lead to the service. */
-	void configure(long version, String... prefixes) {
+	/** Writes a configuration with a route that leads to the service. */
+	void configure(long version, String prefix) {
+		configure(version, Map.of(prefix, SERVICE));
+	}
+
+	/** Writes a configuration with the service of each prefix. */
+	void configure(long version, Map<String, String> serviceByPrefix) {
 		List<String> routes = new ArrayList<>();
-		for (String prefix : prefixes) {
+		List<String> services = new ArrayList<>();
+		serviceByPrefix.forEach((prefix, service) -> {
 			routes.add("{\"name\":\"r" + routes.size() + "\",\"host\":\"" + HOST + "\",\"prefix\":\"" + prefix
 					+ "\",\"kind\":\"non_idempotent\",\"timeoutMs\":1500,\"completionTargetMs\":60,\"priority\":0,"
-					+ "\"service\":\"" + SERVICE + "\",\"maxAttempts\":3,\"slowdownFactor\":1.6}");
-		}
+					+ "\"service\":\"" + service + "\",\"maxAttempts\":3,\"slowdownFactor\":1.6}");
+			services.add("{\"name\":\"" + service + "\",\"healthPath\":\"/healthz\",\"maxConnections\":64,"
+					+ "\"protocol\":\"h1\",\"tls\":false,\"preconditions\":true,\"standby\":false}");
+		});
 		this.store.put("op/config",
-				"{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":[{\"name\":\""
-						+ SERVICE + "\",\"healthPath\":\"/healthz\",\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":"
-						+ "false,\"preconditions\":true,\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
+				"{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
+						+ String.join(",", services) + "],\"limits\":{\"maxHeaderBytes\":16384,"
 						+ "\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
-		this.record.write("operator writes version " + version + " with " + String.join(" ", prefixes));
+		this.record.write("operator writes version " + version + " with " + serviceByPrefix);
 	}
 
 	void addEntry(String name) throws IOException {
@@ -69,9 +76,13 @@
 	}
 
 	void addGuard(String name) throws IOException {
+		addGuard(name, SERVICE);
+	}
+
+	void addGuard(String name, String service) throws IOException {
 		int app = freePort();
 		int control = freePort();
-		this.runners.add(new RunnerServer("i-" + name, SERVICE, app, control, this.record, this.onStarted));
+		this.runners.add(new RunnerServer("i-" + name, service, app, control, this.record, this.onStarted));
 		start(name, "guard", "127.0.0.1:" + control, 0, 0,
 				"\"endpoint\":\"http://127.0.0.1:" + app + "\",\"maxLeaseMillis\":1000");
 	}
