--- a/review/src/review/CancelElsewhere.java
+++ b/review/src/review/CancelElsewhere.java
@@ -38,7 +38,8 @@
 			Thread.sleep(1_000);
 			CompletableFuture<Http.Reply> first = CompletableFuture
 				.supplyAsync(() -> deployment.call("entry-1", "POST", PATH, DEADLINE_MILLIS, job));
-			Thread.sleep(500);
+			deployment.awaitRun();
+			Thread.sleep(200);
 			if (trouble) {
 				deployment.signal("entry-1", "KILL");
 				first.join();
--- a/review/src/review/CancelledRunsAgain.java
+++ b/review/src/review/CancelledRunsAgain.java
@@ -21,7 +21,7 @@
 
 	public static void main(String[] args) throws Exception {
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		String job = Deployment.job("run-ms=1500", 2, 1_500);
+		String job = Deployment.job("run-ms=2000", 2, 2_000);
 		boolean broken;
 		AtomicLong lastStart = new AtomicLong(-1);
 		try (Record record = new Record(Path.of(args[0], "record.txt"));
@@ -35,7 +35,8 @@
 			Thread.sleep(1_000);
 			CompletableFuture<Http.Reply> submitted = CompletableFuture
 				.supplyAsync(() -> deployment.call("entry-1", "POST", PATH, DEADLINE_MILLIS, job));
-			Thread.sleep(500);
+			deployment.awaitRun();
+			Thread.sleep(200);
 			Http.Reply cancelled = deployment.call("entry-1", "DELETE", PATH, 4_000, "");
 			long acknowledged = record.millis();
 			if (cancelled.status() != 200 || submitted.join().status() != 200 || lastStart.get() < 0) {
@@ -46,7 +47,7 @@
 			if (trouble) {
 				deployment.call("entry-1", "POST", PATH, DEADLINE_MILLIS, job);
 			}
-			Thread.sleep(2_000);
+			Thread.sleep(2_500);
 			broken = lastStart.get() - acknowledged > CANCEL_MILLIS;
 			if (broken) {
 				record.write("UNASKED: a task of the cancelled job started " + (lastStart.get() - acknowledged)
--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -32,6 +32,8 @@
 
 	private final Map<String, Node> nodes = new LinkedHashMap<>();
 
+	private final Runs runs;
+
 	private final List<RunnerServer> runners = new ArrayList<>();
 
 	private final BiConsumer<String, String> onStarted;
@@ -40,6 +42,7 @@
 
 	Deployment(Record record, BiConsumer<String, String> onStarted) throws IOException {
 		this.record = record;
+		this.runs = new Runs(record);
 		this.onStarted = onStarted;
 		this.folder = Files.createTempDirectory("coriandermux-review");
 		Runtime.getRuntime().addShutdownHook(this.hook);
@@ -82,7 +85,7 @@
 	void addGuard(String name, String service) throws IOException {
 		int app = freePort();
 		int control = freePort();
-		this.runners.add(new RunnerServer("i-" + name, service, app, control, this.record, this.onStarted));
+		this.runners.add(new RunnerServer("i-" + name, service, app, control, this.record, this.runs, this.onStarted));
 		start(name, "guard", "127.0.0.1:" + control, 0, 0,
 				"\"endpoint\":\"http://127.0.0.1:" + app + "\",\"maxLeaseMillis\":1000");
 	}
@@ -150,6 +153,22 @@
 		return this.runners;
 	}
 
+	Runs runs() {
+		return this.runs;
+	}
+
+	/** Waits until a task runs; exits with 2 if none does. */
+	void awaitRun() throws InterruptedException {
+		long endMillis = this.record.millis() + 5_000;
+		while (running().isEmpty()) {
+			if (this.record.millis() > endMillis) {
+				this.record.write("no task has started; the case can't run");
+				System.exit(2);
+			}
+			Thread.sleep(5);
+		}
+	}
+
 	boolean isReady(String entry) {
 		try {
 			return Http.send(this.nodes.get(entry).ready, "GET", "/v1/readyz", "127.0.0.1", Map.of(), "", 500)
--- a/review/src/review/LateAtNextLife.java
+++ b/review/src/review/LateAtNextLife.java
@@ -47,14 +47,8 @@
 				late.restart();
 				late.carryOutLateStarts();
 			}
-			for (int check = 0; check < 100; check++) {
-				long running = deployment.running().stream().filter(TASK::equals).count();
-				if (running > 1 && !broken) {
-					broken = true;
-					record.write("TWICE: " + TASK + " runs on two runners at the same time");
-				}
-				Thread.sleep(5);
-			}
+			Thread.sleep(500);
+			broken = deployment.runs().isTwice();
 			if (deployment.running().isEmpty()) {
 				record.write("the job does not run; the case can't run");
 				System.exit(2);
--- a/review/src/review/RunnerServer.java
+++ b/review/src/review/RunnerServer.java
@@ -45,6 +45,8 @@
 
 	private final Record record;
 
+	private final Runs runs;
+
 	private final int port;
 
 	private HttpServer server;
@@ -77,12 +79,14 @@
 
 	private long sequence;
 
-	RunnerServer(String id, String service, int port, int guardPort, Record record, BiConsumer<String, String> onStarted)
+	RunnerServer(String id, String service, int port, int guardPort, Record record, Runs runs,
+			BiConsumer<String, String> onStarted)
 			throws IOException {
 		this.id = id;
 		this.service = service;
 		this.guardPort = guardPort;
 		this.record = record;
+		this.runs = runs;
 		this.onStarted = onStarted;
 		this.port = port;
 		startIncarnation();
@@ -127,7 +131,10 @@
 	synchronized void crash() {
 		this.crashed = true;
 		this.server.stop(0);
-		this.active.keySet().forEach((task) -> this.record.write("runner " + this.id + " crashes with " + task));
+		this.active.keySet().forEach((task) -> {
+			this.runs.end(task);
+			this.record.write("runner " + this.id + " crashes with " + task);
+		});
 		this.active.clear();
 		this.latest.clear();
 		this.ended.clear();
@@ -302,6 +309,7 @@
 		long millis = matcher.find() ? Long.parseLong(matcher.group(1)) : 100;
 		this.active.put(task, new Run(task, number, clock(), clock() + millis, 0, ""));
 		this.record.write("runner " + this.id + " begins " + task + " run " + number + " spec " + spec);
+		this.runs.begin(task);
 		this.onStarted.accept(task, spec);
 		return "";
 	}
@@ -316,6 +324,7 @@
 
 	private void end(Run run, String how) {
 		this.active.remove(run.task);
+		this.runs.end(run.task);
 		this.latest.merge(run.task, run.number, Math::max);
 		this.endCount++;
 		this.ended.add(new Run(run.task, run.number, run.startMillis, run.endMillis, this.endCount, how));
