--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -71,10 +71,23 @@
 		this.record.write("operator writes version " + version + " with " + serviceByPrefix);
 	}
 
+	/** Adds an entry that the other entries reach over a path of its own. */
+	TcpPath addEntryBehindPath(String name) throws IOException {
+		int peerPort = freePort();
+		TcpPath path = new TcpPath(peerPort);
+		this.store.translate(peerPort, path.port());
+		addEntry(name, peerPort);
+		return path;
+	}
+
 	void addEntry(String name) throws IOException {
+		addEntry(name, freePort());
+	}
+
+	private void addEntry(String name, int peerPort) throws IOException {
 		int callers = freePort();
 		int ready = freePort();
-		start(name, "entry", "", callers, ready,
+		start(name, "entry", "", peerPort, callers, ready,
 				"\"callers\":\"127.0.0.1:" + callers + "\",\"ready\":\"127.0.0.1:" + ready + "\",\"remoteFactor\":1.5");
 	}
 
@@ -86,15 +99,15 @@
 		int app = freePort();
 		int control = freePort();
 		this.runners.add(new RunnerServer("i-" + name, service, app, control, this.record, this.runs, this.onStarted));
-		start(name, "guard", "127.0.0.1:" + control, 0, 0,
+		start(name, "guard", "127.0.0.1:" + control, freePort(), 0, 0,
 				"\"endpoint\":\"http://127.0.0.1:" + app + "\",\"maxLeaseMillis\":1000");
 	}
 
 	// The same settings as deploy/*.json.template give, with free ports.
-	private void start(String name, String role, String control, int callers, int ready, String rest)
+	private void start(String name, String role, String control, int peerPort, int callers, int ready, String rest)
 			throws IOException {
 		String settings = "{\"id\":\"" + name + "\",\"zone\":\"z\",\"rack\":\"r\",\"address\":\"127.0.0.1\",\"peerPort\":"
-				+ freePort() + ",\"operatorsPort\":" + freePort() + ",\"stores\":[\"http://127.0.0.1:" + this.store.port()
+				+ peerPort + ",\"operatorsPort\":" + freePort() + ",\"stores\":[\"http://127.0.0.1:" + this.store.port()
 				+ "\"],\"secret\":\"coriandermux-on-the-platform\"," + rest + ",\"limits\":{\"connections\":1024,"
 				+ "\"drainMillis\":6000}}";
 		Path file = this.folder.resolve(name + ".json");
@@ -196,11 +209,17 @@
 
 	/** Sends a request of a client and records it with its answer; status 0 means none. */
 	Http.Reply call(String entry, String method, String path, long deadlineMillis, String body) {
+		return call(entry, callers(entry), method, path, deadlineMillis, deadlineMillis, body);
+	}
+
+	/** As before, over a path to the entry, for a client that may leave before its deadline. */
+	Http.Reply call(String entry, int port, String method, String path, long deadlineMillis, long leaveMillis,
+			String body) {
 		this.record.write("client -> " + entry + " " + method + " " + path + " " + body);
 		Http.Reply reply;
 		try {
-			reply = Http.send(callers(entry), method, path, HOST,
-					Map.of("Coriandermux-Deadline-Ms", String.valueOf(deadlineMillis)), body, (int) deadlineMillis);
+			reply = Http.send(port, method, path, HOST,
+					Map.of("Coriandermux-Deadline-Ms", String.valueOf(deadlineMillis)), body, (int) leaveMillis);
 		}
 		catch (IOException ex) {
 			reply = new Http.Reply(0, String.valueOf(ex.getMessage()));
--- a/review/src/review/LateAtNextLife.java
+++ b/review/src/review/LateAtNextLife.java
@@ -45,7 +45,7 @@
 				late.crash();
 				Thread.sleep(1_000);
 				late.restart();
-				late.carryOutLateStarts();
+				late.carryOutLateStarts(0);
 			}
 			Thread.sleep(500);
 			broken = deployment.runs().isTwice();
--- a/review/src/review/RunnerServer.java
+++ b/review/src/review/RunnerServer.java
@@ -116,9 +116,13 @@
 		return this.lateStarts.size();
 	}
 
-	/** Carries out the start orders that were not answered. */
-	synchronized void carryOutLateStarts() throws InterruptedException {
+	/**
+	 * Carries out the start orders that were not answered.
+	 * @param shiftMillis by how much their leases are shifted, 0 if they are not
+	 */
+	synchronized void carryOutLateStarts(long shiftMillis) throws InterruptedException {
 		for (JsonNode request : this.lateStarts) {
+			((ObjectNode) request).put("deadlineMs", request.path("deadlineMs").asLong() + shiftMillis);
 			ObjectNode reply = JSON.createObjectNode();
 			int status = decide("/v1/run-start", this.id, request, reply);
 			this.record.write("runner " + this.id + " carries out late: /v1/run-start " + request + " -> " + status + " "
--- a/review/src/review/StoreServer.java
+++ b/review/src/review/StoreServer.java
@@ -39,6 +39,9 @@
 
 	private final ExecutorService threads = Executors.newCachedThreadPool(StoreServer::daemon);
 
+	/** Peer ports as the announcements name them, and the port of the path to each. */
+	private final Map<String, String> paths = new LinkedHashMap<>();
+
 	private long revision = 100;
 
 	private long lastLease;
@@ -68,6 +71,22 @@
 		notifyAll();
 	}
 
+	/**
+	 * Lets the announcements of a process lead to a path before it, as a translation of
+	 * addresses in the network would.
+	 */
+	synchronized void translate(int port, int path) {
+		this.paths.put("\"port\":" + port + ",", "\"port\":" + path + ",");
+	}
+
+	private String translate(String value) {
+		String text = new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
+		for (Map.Entry<String, String> path : this.paths.entrySet()) {
+			text = text.replace(path.getKey(), path.getValue());
+		}
+		return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+	}
+
 	private void write(String key, String value, long lease) {
 		Item previous = this.items.get(key);
 		Item item = new Item(key, value, this.revision, (previous != null) ? previous.createdAt : this.revision, lease);
@@ -224,7 +243,7 @@
 		}
 		this.revision++;
 		request.path("puts")
-			.forEach((put) -> write(put.path("key").asText(), put.path("value").asText(), put.path("leaseId").asLong()));
+			.forEach((put) -> write(put.path("key").asText(), translate(put.path("value").asText()), put.path("leaseId").asLong()));
 		request.path("deletes").forEach((key) -> remove(key.asText()));
 		notifyAll();
 		return new Reply(200, reply.put("revision", this.revision));
