--- a/review/src/review/CancelElsewhere.java
+++ b/review/src/review/CancelElsewhere.java
@@ -17,14 +17,14 @@
 
 	private static final long STOP_MILLIS = 50;
 
-	private static final long DEADLINE_MILLIS = 25_000;
+	private static final long DEADLINE_MILLIS = 40_000;
 
 	private CancelElsewhere() {
 	}
 
 	public static void main(String[] args) throws Exception {
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		String job = Deployment.job("run-ms=14000", 1, 14_000);
+		String job = Deployment.job("run-ms=25000", 1, 25_000);
 		boolean broken;
 		try (Record record = new Record(Path.of(args[0], "record.txt"));
 				Deployment deployment = new Deployment(record, (task, spec) -> {
