Refuse texts with an unpaired surrogate

A spec or payload with half of a surrogate pair, which JSON can name by an escape, reached the runner or endpoint with "?" in its place, and the job was answered as completed.

Cause: UTF-8 cannot encode it, and String.getBytes replaces what it cannot encode. The text is refused with 400 where it is read: by JsonInput.text for the fields of the platform, and by RequestParser for payloads of the product's own interface.

RequestParserTests.keepsAPayloadOutsideOfAscii passed before, too.

--- a/daemon/src/main/java/io/coriandermux/daemon/http/RequestParser.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/http/RequestParser.java
@@ -23,6 +23,7 @@
 import io.coriandermux.core.api.TaskSpec;
 import io.coriandermux.core.id.JobId;
 import io.coriandermux.core.id.OwnerId;
+import io.coriandermux.daemon.run.JsonInput;
 
 /**
  * Parses the bodies of callers' requests. It has no mutable state.
@@ -165,6 +166,9 @@
 		if (node.has("payload")) {
 			JsonNode payload = node.get("payload");
 			String text = payload.isTextual() ? payload.textValue() : payload.toString();
+			if (!JsonInput.isEncodable(text)) {
+				throw new MalformedRequestException(location + ".payload: the text has an unpaired surrogate");
+			}
 			return text.getBytes(StandardCharsets.UTF_8);
 		}
 		try {
--- a/daemon/src/main/java/io/coriandermux/daemon/run/JsonInput.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/JsonInput.java
@@ -1,5 +1,7 @@
 package io.coriandermux.daemon.run;
 
+import java.nio.charset.StandardCharsets;
+
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
@@ -83,7 +85,8 @@
 	 * @param field name of the text
 	 * @param maxCharacters longest text to accept
 	 * @return the text
-	 * @throws MalformedValueException if the field is not a text or is too long
+	 * @throws MalformedValueException if the field is not a text, is too long, or has an
+	 * unpaired surrogate, which UTF-8 cannot encode
 	 */
 	public static String text(JsonNode object, String field, int maxCharacters) throws MalformedValueException {
 		JsonNode value = object.path(field);
@@ -91,9 +94,23 @@
 			throw new MalformedValueException(
 					field + ": a text of at most " + maxCharacters + " characters is expected");
 		}
+		if (!isEncodable(value.textValue())) {
+			throw new MalformedValueException(field + ": the text has an unpaired surrogate");
+		}
 		return value.textValue();
 	}
 
+	/**
+	 * Returns whether UTF-8 can encode a text. JSON can name an unpaired surrogate by an
+	 * escape. The encoder would replace it, and the next process would receive another
+	 * text.
+	 * @param text the text
+	 * @return whether each of its surrogates is one of a pair
+	 */
+	public static boolean isEncodable(String text) {
+		return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+	}
+
 	/**
 	 * Reads a whole number.
 	 * @param object the object
--- a/daemon/src/test/java/io/coriandermux/daemon/http/RequestParserTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/http/RequestParserTests.java
@@ -58,6 +58,21 @@
 		assertMalformed(VALID_BODY.replace("\"id\"", "\"deadlineMs\":1,\"id\""), "not JSON: Duplicate");
 	}
 
+	@Example
+	void keepsAPayloadOutsideOfAscii() throws MalformedRequestException {
+		String text = "\u03c3\u03ac\u03ba\u03bf\u03b9, M\u00fcller, \ud83d\ude9a";
+		SubmitJob job = parse(VALID_BODY.replace("text", text));
+		assertThat(job.tasks().get(1).payload()).asString(StandardCharsets.UTF_8).isEqualTo(text);
+	}
+
+	// Guards against a payload that reaches the endpoint with a question mark in place of
+	// a character that UTF-8 cannot encode.
+	@Example
+	void rejectsAPayloadWithAnUnpairedSurrogate() {
+		assertMalformed(VALID_BODY.replace("text", "a\\ud800"), "tasks[1].payload: the text has an unpaired surrogate");
+		assertMalformed(VALID_BODY.replace("{\"x\":1}", "{\"x\":\"\\udc00\"}"), "tasks[0].payload");
+	}
+
 	@Property(seed = "4722", tries = 1000)
 	void parsesACorruptedBodyOrThrowsATypedError(@ForAll @IntRange(max = 300) int position,
 			@ForAll @Size(max = 5) byte[] bytes) {
