Start no batch that another entry may have by now

Cause: an entry that stands still confirms no session, so the guards stop its runs, as they must. When it goes on it takes "STOPPED" for a reason to start the tasks elsewhere. It relied on the announcement that makes the other entries ask before they accept the batch, but an entry that stands still within 400 ms of the submission has announced nothing, and one that was cut off has announced it to nobody.

A run now starts only while no caller can have come back, which is for 0.9 s after the request was sent, or if the batch was announced before that while any other entry was connected. The announcements of an entry that loses its last link to the others count no more. A batch that can't start any more is answered at once, as unfinished if one of its runs was sent to a guard, and otherwise as not run.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -102,10 +102,10 @@
 		this.callers = channels.callers();
 		this.guards = channels.guards();
 		this.notices = new DispatchNotices(channels.notices());
-		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices());
 		this.timesCalculator = new BatchTimesCalculator(settings, this.endpoints, this.runTimes);
 		this.shutdown = new DispatchShutdown(settings);
 		this.handover = new BatchHandover(channels, this.batches::containsKey);
+		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(), this.handover::mayStart);
 	}
 
 	/**
@@ -183,6 +183,12 @@
 			this.handover.defer(request);
 			return;
 		}
+		if (!this.handover.mayStart(request, now)) {
+			refuse(request, BatchVerdict.UNAVAILABLE,
+					"sent up to " + request.ageMillis(now) + " ms ago, another entry may have the batch",
+					RETRY_AFTER_MILLIS);
+			return;
+		}
 		long expectedNanos = this.runTimes.estimate(route.get(), request.request().tasks()).expectedNanos();
 		if (!this.shutdown.accepts(expectedNanos, now)) {
 			refuse(request, BatchVerdict.UNAVAILABLE, "the entry ends in " + this.shutdown.remainingMillis(now) + " ms",
@@ -570,7 +576,12 @@
 	}
 
 	private void checkDeadlines(Batch batch, Moment now) {
-		if (!batch.isStarted() && isTooLate(batch, now)) {
+		if (batch.hasWaitingTask() && !this.handover.mayStart(batch, now)) {
+			answer(batch,
+					unfinishedOrUnavailable(batch, "another entry may have the batch, which was not announced in time"),
+					now);
+		}
+		else if (!batch.isStarted() && isTooLate(batch, now)) {
 			answer(batch, new BatchAnswer(BatchVerdict.OVERLOADED,
 					"no endpoint had room within " + ageMillis(batch, now) + " ms", RETRY_AFTER_MILLIS), now);
 		}
@@ -600,11 +611,12 @@
 		this.handover.waiting().removeAll().forEach((request) -> answerUnfinished(request, "the entry ends", now));
 		new ArrayList<>(this.batches.values()).stream()
 			.filter((batch) -> !batch.isAnswered())
-			.forEach(
-					(batch) -> answer(batch,
-							batch.isStarted() ? BatchAnswer.of(BatchVerdict.UNFINISHED, "the entry ends")
-									: new BatchAnswer(BatchVerdict.UNAVAILABLE, "the entry ends", RETRY_AFTER_MILLIS),
-							now));
+			.forEach((batch) -> answer(batch, unfinishedOrUnavailable(batch, "the entry ends"), now));
+	}
+
+	private static BatchAnswer unfinishedOrUnavailable(Batch batch, String reason) {
+		return batch.isStarted() ? BatchAnswer.of(BatchVerdict.UNFINISHED, reason)
+				: new BatchAnswer(BatchVerdict.UNAVAILABLE, reason, RETRY_AFTER_MILLIS);
 	}
 
 	/**
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
@@ -57,6 +57,26 @@
 		return !this.holdings.holders(batch).isEmpty();
 	}
 
+	/**
+	 * Returns whether a run of a batch may still start at this entry.
+	 * @param batch the batch
+	 * @param now the current time
+	 * @return whether no other entry can have started the batch
+	 */
+	boolean mayStart(Batch batch, Moment now) {
+		return this.announcer.mayStart(batch.id(), batch.sentNanos(), now.nanos());
+	}
+
+	/**
+	 * Returns whether a batch may still start at this entry.
+	 * @param request the request for it
+	 * @param now the current time
+	 * @return whether no other entry can have started the batch
+	 */
+	boolean mayStart(CallerRequest request, Moment now) {
+		return this.announcer.mayStart(request.id(), request.sentNanos(), now.nanos());
+	}
+
 	/**
 	 * Lets a request wait until all runs of its batch have ended, at this entry and at
 	 * those that have announced it, and requests these to give it up.
@@ -87,7 +107,7 @@
 	}
 
 	void onLost(EntryIncarnation peer, Moment now) {
-		this.announcer.onLost(peer.entry());
+		this.announcer.onLost(peer.entry(), now.nanos());
 		int batches = this.holdings.onLost(peer, now.nanos());
 		if (batches > 0) {
 			this.notices.accept(new Notice(NoticeKind.HOLDER_LOST, peer.entry().value(),
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchPlacer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 
 import io.coriandermux.core.id.GuardId;
@@ -38,6 +39,8 @@
 
 	private final Consumer<Notice> notices;
 
+	private final BiPredicate<Batch, Moment> mayStart;
+
 	private final TreeSet<Batch> waiting = new TreeSet<>(Batch::compareUrgency);
 
 	private final Map<RunId, BatchTask> runs = new LinkedHashMap<>();
@@ -49,10 +52,19 @@
 	 */
 	private double drainRate;
 
-	BatchPlacer(EndpointTable endpoints, GuardChannel guards, Consumer<Notice> notices) {
+	/**
+	 * Creates a placer without batches.
+	 * @param endpoints the endpoints
+	 * @param guards sends orders to guards
+	 * @param notices receives notices for operators
+	 * @param mayStart returns whether a run of a batch may start now
+	 */
+	BatchPlacer(EndpointTable endpoints, GuardChannel guards, Consumer<Notice> notices,
+			BiPredicate<Batch, Moment> mayStart) {
 		this.endpoints = endpoints;
 		this.guards = guards;
 		this.notices = notices;
+		this.mayStart = mayStart;
 	}
 
 	void add(Batch batch) {
@@ -154,6 +166,9 @@
 		this.waiting.stream().filter((batch) -> isPastLatestStart(batch, now)).forEach(ordered::add);
 		for (Batch batch : ordered) {
 			ResourceAmounts needs = batch.request().tasks().needs();
+			if (!this.mayStart.test(batch, now)) {
+				continue;
+			}
 			if (blockedNeeds.stream().anyMatch((smaller) -> needs.fits(smaller))) {
 				continue;
 			}
--- a/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
@@ -44,6 +44,19 @@
 	 */
 	private static final int MAX_ANNOUNCED = 16_384;
 
+	/**
+	 * Until then no other entry can have a batch. Its caller comes back 1.3 s after it
+	 * has given up, and the age of a request is known to 0.3 s.
+	 */
+	private static final long MIN_RETURN_NANOS = 900 * NANOS_PER_MILLI;
+
+	/**
+	 * An entry without a link to any other may be cut off from them. Links are
+	 * established again within a second after a partition, so an entry that is alone for
+	 * longer than most partitions is taken for the only one.
+	 */
+	private static final long ISOLATION_NANOS = 10_000 * NANOS_PER_MILLI;
+
 	private final PeerChannel channel;
 
 	private final Set<EntryId> peers = new LinkedHashSet<>();
@@ -51,6 +64,9 @@
 	/** The announced batches with the time since which each is in progress. */
 	private final Map<BatchId, Long> announced = new LinkedHashMap<>();
 
+	/** The announced batches that no other entry could have had before it was told. */
+	private final Set<BatchId> announcedInTime = new LinkedHashSet<>();
+
 	/** The entries that wait for the end of a batch. */
 	private final Map<BatchId, Set<EntryId>> releaseRequests = new LinkedHashMap<>();
 
@@ -58,6 +74,10 @@
 
 	private long sentNanos;
 
+	private boolean isolated;
+
+	private long isolatedNanos;
+
 	HeldBatchAnnouncer(PeerChannel channel) {
 		this.channel = channel;
 	}
@@ -69,15 +89,39 @@
 	 */
 	void onConnected(EntryId peer, long nowNanos) {
 		this.peers.add(peer);
+		this.isolated = false;
 		this.channel.send(peer, new HeldBatches(true, List.of(), ages(this.announced, nowNanos)));
 	}
 
-	void onLost(EntryId peer) {
-		this.peers.remove(peer);
+	/**
+	 * Records that the link to an entry is lost. Without any link, this entry may be the
+	 * one that is cut off, and the others forget what it has announced.
+	 * @param peer the entry
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void onLost(EntryId peer, long nowNanos) {
+		if (this.peers.remove(peer) && this.peers.isEmpty()) {
+			this.isolated = true;
+			this.isolatedNanos = nowNanos;
+			this.announcedInTime.clear();
+		}
 		this.releaseRequests.values().forEach((waiting) -> waiting.remove(peer));
 		this.releaseRequests.values().removeIf(Set::isEmpty);
 	}
 
+	/**
+	 * Returns whether a run of a batch may still start. An entry that stood still, or was
+	 * cut off, has told the others too late that it has the batch, and the caller may
+	 * have submitted it to one of them.
+	 * @param batch the batch
+	 * @param sinceNanos time since which the batch is in progress, on the monotonic clock
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return whether no other entry can have started the batch
+	 */
+	boolean mayStart(BatchId batch, long sinceNanos, long nowNanos) {
+		return nowNanos - sinceNanos < MIN_RETURN_NANOS || this.announcedInTime.contains(batch);
+	}
+
 	/**
 	 * Returns whether the batches have to be compared with those that are announced.
 	 * @param nowNanos the current time on the monotonic clock
@@ -107,13 +151,26 @@
 		}
 		List<BatchId> ended = this.announced.keySet().stream().filter((batch) -> !held.containsKey(batch)).toList();
 		ended.forEach(this.announced::remove);
+		this.announcedInTime.removeAll(ended);
 		this.announced.putAll(added);
+		recordInTime(added, nowNanos);
 		if (!added.isEmpty() || !ended.isEmpty()) {
 			this.sentNanos = nowNanos;
 			sendToAll(new HeldBatches(false, ended, ages(added, nowNanos)));
 		}
 	}
 
+	private void recordInTime(Map<BatchId, Long> added, long nowNanos) {
+		if (this.isolated && nowNanos - this.isolatedNanos < ISOLATION_NANOS) {
+			return;
+		}
+		added.forEach((batch, sinceNanos) -> {
+			if (nowNanos - sinceNanos < MIN_RETURN_NANOS) {
+				this.announcedInTime.add(batch);
+			}
+		});
+	}
+
 	private static List<HeldBatch> ages(Map<BatchId, Long> batches, long nowNanos) {
 		return batches.entrySet()
 			.stream()
@@ -137,6 +194,7 @@
 	void onEnded(BatchId batch) {
 		if (this.releaseRequests.remove(batch) != null) {
 			this.announced.remove(batch);
+			this.announcedInTime.remove(batch);
 			sendToAll(new HeldBatches(false, List.of(batch), List.of()));
 		}
 	}
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatcherFixture.java
@@ -96,6 +96,11 @@
 		}
 	}
 
+	void standStill(long millis) {
+		this.nanos += millis * 1_000_000;
+		this.dispatcher.tick(now());
+	}
+
 	CallerRef submit(String id, int tasks) {
 		return submit(id, new TaskGroup(tasks, NEEDS, 200, "", "", 0));
 	}
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
@@ -167,6 +167,27 @@
 		}
 	}
 
+	// Guards against an entry that stands still, so that its runs are stopped and its
+	// batch is not announced, and that starts the tasks again when it goes on although
+	// the caller has submitted the batch to another entry.
+	@Example
+	void anEntryThatStoodStillStartsNothingThatAnotherEntryMayHave() {
+		for (boolean reads : new boolean[] { false, true }) {
+			for (long leftMillis = 10; leftMillis <= 310; leftMillis += 50) {
+				for (long pauseMillis = 900; pauseMillis <= 3_000; pauseMillis += 50) {
+					ClusterModel cluster = new ClusterModel(1, 2, 3, 3);
+					submitJob(cluster, 3_000);
+					cluster.advance(leftMillis);
+					cluster.callers().leaveHalfOpen(cluster.entry(0));
+					cluster.entry(0).pause(pauseMillis, reads);
+					cluster.advance(6_000);
+					assertNoTaskRanTwice(cluster,
+							"left after " + leftMillis + " ms, entry stands still for " + pauseMillis + " ms");
+				}
+			}
+		}
+	}
+
 	// The hand-over forgets the batches of an entry whose link is away 0.5 s after it was
 	// lost, but a run whose start a lost guard has not confirmed may start for 12 s.
 	@Example
