Ask for an older batch of another entry at once

If two entries have a batch, the older one gives it up when it learns of the younger one, which was up to 0.6 s after the younger one had accepted it. The younger one learns at once, from the announcement of an entry that goes on after it stood still, but kept it to itself.

It now requests the release with the message that entries have for that. Two runs that have started already overlap for one round trip instead of several hundred milliseconds.

Before: requestsAnOlderBatchOfAnotherEntryAtOnce fails. After: it passes.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -403,7 +403,9 @@
 	}
 
 	// Two entries may accept a batch before either knows of the other. The caller has
-	// submitted it to the older one first, so it waits at the other one, if at all.
+	// submitted it to the older one first, so it waits at the other one, if at all. The
+	// older one learns of the younger batch only with its first announcement, so it is
+	// told.
 	private void resolveConflict(EntryId entry, HeldBatch held, Moment now) {
 		Batch batch = this.batches.get(held.batch());
 		if (batch == null || batch.isAnswered()) {
@@ -415,6 +417,9 @@
 		if (ageMillis > held.ageMillis()) {
 			releaseBatch(entry, held.batch(), now);
 		}
+		else if (ageMillis < held.ageMillis()) {
+			this.handover.requestRelease(entry, held.batch());
+		}
 	}
 
 	private void releaseBatch(EntryId entry, BatchId id, Moment now) {
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
@@ -77,6 +77,15 @@
 		return this.announcer.mayStart(request.id(), request.sentNanos(), now.nanos());
 	}
 
+	/**
+	 * Requests another entry to give up a batch that both have in progress.
+	 * @param peer the entry
+	 * @param batch the batch
+	 */
+	void requestRelease(EntryId peer, BatchId batch) {
+		this.channel.send(peer, new ReleaseBatch(batch));
+	}
+
 	/**
 	 * Lets a request wait until all runs of its batch have ended, at this entry and at
 	 * those that have announced it, and requests these to give it up.
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchHandoverTests.java
@@ -351,6 +351,18 @@
 		assertThat(this.fixture.starts()).hasSize(2);
 	}
 
+	// Guards against two runs that go on until the next announcement: the entry with the
+	// older batch does not know of the younger one yet.
+	@Example
+	void requestsAnOlderBatchOfAnotherEntryAtOnce() {
+		connect(PEER, FIRST);
+		this.fixture.submit("b1", 1);
+		this.fixture.advance(100);
+		receive(PEER, new HeldBatches(false, List.of(), List.of(new HeldBatch(BATCH, 1_450))));
+		assertThat(sent(PEER)).last().isEqualTo(new ReleaseBatch(BATCH));
+		assertThat(this.fixture.stops()).isEmpty();
+	}
+
 	private CallerRef submitWithAge(long ageMillis) {
 		return this.fixture.submit("/q/b1", new BatchRequest(BATCH, "spec",
 				new TaskGroup(1, DispatcherFixture.NEEDS, 200, "", "", 0), 3_000, Optional.empty())
