Trust no announcement after a standstill of a second

An entry that stood still for more than 1.2 s started tasks of a batch again that it had announced in time, and served requests that had waited meanwhile, although the caller had submitted the batch to another entry.

Cause: the other entries report it lost after 1.2 s without a message and forget its batches 0.5 s later, so the announcement protects nothing any more.

The announcements of an entry count no more if its periodic work stood still for 1 s, also for messages that are handled before it runs again.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
@@ -168,6 +168,7 @@
 	 */
 	void tick(Supplier<Map<BatchId, Long>> held, Moment now) {
 		this.holdings.expire(now.nanos());
+		this.announcer.onTick(now.nanos());
 		if (this.announcer.isDue(now.nanos())) {
 			Map<BatchId, Long> batches = new LinkedHashMap<>(held.get());
 			batches.putAll(this.waiting.sentNanos());
--- a/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
@@ -57,6 +57,12 @@
 	 */
 	private static final long ISOLATION_NANOS = 10_000 * NANOS_PER_MILLI;
 
+	/**
+	 * Another entry reports this one lost 1.2 s after its last message, which may have
+	 * been sent 0.5 s before this entry stopped, and forgets its batches 0.5 s later.
+	 */
+	private static final long MAX_STANDSTILL_NANOS = 1_000 * NANOS_PER_MILLI;
+
 	private final PeerChannel channel;
 
 	private final Set<EntryId> peers = new LinkedHashSet<>();
@@ -70,6 +76,8 @@
 	/** The entries that wait for the end of a batch. */
 	private final Map<BatchId, Set<EntryId>> releaseRequests = new LinkedHashMap<>();
 
+	private long tickedNanos;
+
 	private long checkedNanos;
 
 	private long sentNanos;
@@ -119,7 +127,20 @@
 	 * @return whether no other entry can have started the batch
 	 */
 	boolean mayStart(BatchId batch, long sinceNanos, long nowNanos) {
-		return nowNanos - sinceNanos < MIN_RETURN_NANOS || this.announcedInTime.contains(batch);
+		return nowNanos - sinceNanos < MIN_RETURN_NANOS
+				|| (this.announcedInTime.contains(batch) && nowNanos - this.tickedNanos < MAX_STANDSTILL_NANOS);
+	}
+
+	/**
+	 * Records that this entry does not stand still. After a standstill the other entries
+	 * may have forgotten what it has announced.
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void onTick(long nowNanos) {
+		if (nowNanos - this.tickedNanos >= MAX_STANDSTILL_NANOS) {
+			this.announcedInTime.clear();
+		}
+		this.tickedNanos = nowNanos;
 	}
 
 	/**
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatcherFixture.java
@@ -96,8 +96,12 @@
 		}
 	}
 
-	void standStill(long millis) {
+	void skip(long millis) {
 		this.nanos += millis * 1_000_000;
+	}
+
+	void standStill(long millis) {
+		skip(millis);
 		this.dispatcher.tick(now());
 	}
 
