Start no run that was reported as not started

A guard that was asked about a run without a record answered that it was not started, so the entry might start the task elsewhere, and then started the run if its order came after all.

The answer is recorded like the end of a run, and an order for the run is answered from the record.

Before: startsNoRunThatItHasReportedAsNotStarted fails. After: it passes.

--- a/core/src/main/java/io/coriandermux/core/lease/RunEndReporter.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunEndReporter.java
@@ -40,7 +40,9 @@
 
 	/**
 	 * Reports to an entry that a run is not active. A run without a recorded end was not
-	 * started by this guard and is reported as not started.
+	 * started by this guard and is reported as not started. This is recorded, because the
+	 * entry may start the task elsewhere: a start order that arrives later, on another
+	 * connection or for a later submission of the batch, must not start the run.
 	 * @param entry the entry
 	 * @param run the run
 	 * @param settled whether no run of a previous guard can be active; if not, the answer
@@ -53,7 +55,8 @@
 			this.deferred.put(run, entry);
 			return;
 		}
-		this.entries.send(entry, ended.orElse(new RunEnded(run, RunOutcome.NOT_STARTED, 0)));
+		ended.ifPresentOrElse((end) -> this.entries.send(entry, end),
+				() -> reportEnd(entry, run, RunOutcome.NOT_STARTED, 0));
 	}
 
 	void onSettled() {
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
@@ -186,6 +186,18 @@
 		assertThat(harness.stops).containsExactly(OTHER_RUN);
 	}
 
+	// Guards against two runs of a task: the entry starts it elsewhere after the report,
+	// and the order that it had sent before arrives late.
+	@Example
+	void startsNoRunThatItHasReportedAsNotStarted() {
+		LeaseManagerHarness harness = LeaseManagerHarness.settled();
+		harness.requestStop(RUN);
+		assertThat(harness.outcomes(RUN)).containsExactly(RunOutcome.NOT_STARTED);
+		harness.requestStart(RUN);
+		assertThat(harness.starts).isEmpty();
+		assertThat(harness.outcomes(RUN)).containsExactly(RunOutcome.NOT_STARTED, RunOutcome.NOT_STARTED);
+	}
+
 	@Example
 	void startsNothingUntilTheRunsOfThePreviousGuardHaveEnded() {
 		LeaseManagerHarness harness = new LeaseManagerHarness();
