Log that the decision thread stood still

1007 DECISIONS_STALLED (WARN) names the time without periodic work, from 400 ms on, before the queued work whose decisions it explains.

--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
@@ -26,6 +26,9 @@
 	/** A reload of the settings was requested. */
 	RELOADED(1006, LogLevel.INFO),
 
+	/** The decision thread stood still. */
+	DECISIONS_STALLED(1007, LogLevel.WARN),
+
 	/** The store is unavailable. */
 	STORE_UNAVAILABLE(3001, LogLevel.WARN),
 
--- a/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/DecisionLoop.java
@@ -38,6 +38,12 @@
 	 */
 	private static final long IDLE_TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
+	/**
+	 * Standstill that is logged. The sessions of an entry end 900 ms after their last
+	 * confirmation, and a session without runs is confirmed every 500 ms.
+	 */
+	private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
 	private static final long QUEUE_FULL_PARK_NANOS = 50_000;
 
 	private static final int MAX_BATCH_SIZE = 256;
@@ -97,6 +103,7 @@
 	 * Starts the loop on a thread of its own.
 	 */
 	public void start() {
+		this.lastTickNanos = this.time.now().nanos();
 		Thread loopThread = new Thread(this::run, this.name);
 		loopThread.setDaemon(true);
 		this.thread = loopThread;
@@ -109,6 +116,7 @@
 	 * @param links the links, not started
 	 */
 	public void startOn(LinkEventLoop links) {
+		this.lastTickNanos = this.time.now().nanos();
 		this.hostLoop = links;
 		links.attachLoop(this);
 	}
@@ -212,6 +220,7 @@
 	}
 
 	private long runBatch() {
+		reportStall(this.time.now().nanos() - this.lastTickNanos);
 		int count = this.queue.drain(Runnable::run, MAX_BATCH_SIZE);
 		if (count > 0) {
 			this.workedSinceTick = true;
@@ -228,6 +237,14 @@
 		return (count > 0) ? 0 : tickNanos - (now - this.lastTickNanos);
 	}
 
+	// Reported before the queued work, whose decisions the standstill explains.
+	private void reportStall(long sinceTickNanos) {
+		if (sinceTickNanos >= STALL_NANOS) {
+			this.log.record(LogEvent.DECISIONS_STALLED, this.name,
+					"no periodic work for " + TimeUnit.NANOSECONDS.toMillis(sinceTickNanos) + " ms");
+		}
+	}
+
 	@Override
 	public boolean hasPendingWork() {
 		return this.running && !this.queue.isEmpty();
