Add a fault that pauses an entry whose callers have left unnoticed

PAUSE_HALF_OPEN resets the callers' side of the connections of an entry and pauses it until the callers have come back to other entries.

--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -94,7 +94,13 @@
 		PAUSE_LONG,
 
 		/** An entry or a guard is paused, and its connections are reset meanwhile. */
-		FREEZE_RESET;
+		FREEZE_RESET,
+
+		/**
+		 * The callers of an entry give up unnoticed, and the entry is paused until they
+		 * have come back to other entries.
+		 */
+		PAUSE_HALF_OPEN;
 
 		/** Whether the fault affects many processes or endpoints at once. */
 		boolean isWidespread() {
@@ -106,9 +112,16 @@
 			return compareTo(PAUSE_MANY) > 0;
 		}
 
+		/**
+		 * Whether the fault is drawn only if it is named. Earlier seeds do not have it.
+		 */
+		boolean isNamedOnly() {
+			return this == PAUSE_HALF_OPEN;
+		}
+
 		/** Whether the fault needs callers that connect through the balancer. */
 		boolean needsBalancer() {
-			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET;
+			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN;
 		}
 
 		boolean isPlanned() {
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -28,6 +28,13 @@
 
 	private static final int PAUSE_RANGE_MILLIS = 2_000;
 
+	/** Callers come back after 1.3 s, and an entry gives a batch up after 1.46 s. */
+	private static final int MIN_HALF_OPEN_PAUSE_MILLIS = 1_310;
+
+	private static final int HALF_OPEN_PAUSE_RANGE_MILLIS = 100;
+
+	private static final int HALF_OPEN_MILLIS = 3_000;
+
 	private static final int MIN_IMPAIRMENT_MILLIS = 300;
 
 	private static final int IMPAIRMENT_RANGE_MILLIS = 2_700;
@@ -77,6 +84,7 @@
 				}
 				case PAUSE_LONG -> pause(drawEntry(choice), drawPauseMillis(choice));
 				case FREEZE_RESET -> freeze(choice);
+				case PAUSE_HALF_OPEN -> pauseHalfOpen(choice);
 				default -> throw new IllegalArgumentException("no fault of the sites: " + fault.kind());
 			}
 			sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
@@ -130,6 +138,14 @@
 		endAfter(millis, () -> paths.forEach((path) -> path.release(seed + path.port())));
 	}
 
+	private void pauseHalfOpen(Random choice) throws IOException, InterruptedException {
+		int number = choice.nextInt(this.cluster.entries().size());
+		impair(List.of(this.cluster.balancer().path(number)), FaultProxy.Mode.HOLD, FaultProxy.ResetSide.CLIENT,
+				HALF_OPEN_MILLIS, choice);
+		pause(this.cluster.entries().get(number),
+				MIN_HALF_OPEN_PAUSE_MILLIS + choice.nextInt(HALF_OPEN_PAUSE_RANGE_MILLIS));
+	}
+
 	private void freeze(Random choice) throws IOException, InterruptedException {
 		SystemProcess process = drawProcess(choice);
 		long millis = drawPauseMillis(choice);
