Answer a request for a cancelled batch as cancelled

Cause: the dispatcher forgot a batch when its runs had ended, and accepted the same id as a new batch. A request that arrives at another entry is not covered.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -69,6 +69,8 @@
 
 	private final BatchPlacer placer;
 
+	private final CancelledBatches cancelled = new CancelledBatches();
+
 	private final Map<CallerRef, Batch> byCaller = new LinkedHashMap<>();
 
 	private final BatchHandover handover;
@@ -160,6 +162,11 @@
 			refuse(request, BatchVerdict.UNAVAILABLE, request.request().unsupported().get(), 0);
 			return;
 		}
+		if (this.cancelled.contains(request.id())) {
+			this.notices.send(NoticeKind.BATCH_REFUSED, request.id().value(), "the caller cancelled the batch before");
+			this.callers.answer(request.caller(), CANCELLED);
+			return;
+		}
 		Batch known = this.batches.get(request.id());
 		if (known != null && !known.isAnswered()) {
 			known.callers().add(request.caller());
@@ -269,17 +276,22 @@
 	}
 
 	/**
-	 * Cancels a batch.
+	 * Cancels a batch. Later requests for it are answered as cancelled.
 	 * @param id the batch
 	 * @param now the current time
-	 * @return {@code CANCELLED}, or {@code UNKNOWN} if the batch is not in progress
+	 * @return {@code CANCELLED}, or {@code UNKNOWN} if the batch is neither in progress
+	 * nor was cancelled before
 	 */
 	public BatchVerdict cancel(BatchId id, Moment now) {
 		List<CallerRequest> waiting = this.handover.waiting().removeAll(id);
 		waiting.forEach((request) -> this.callers.answer(request.caller(), CANCELLED));
 		Batch batch = this.batches.get(id);
-		if (batch == null || batch.isAnswered()) {
-			return waiting.isEmpty() ? BatchVerdict.UNKNOWN : BatchVerdict.CANCELLED;
+		boolean inProgress = batch != null && !batch.isAnswered();
+		if (inProgress || !waiting.isEmpty()) {
+			this.cancelled.add(id, now.nanos());
+		}
+		if (!inProgress) {
+			return this.cancelled.contains(id) ? BatchVerdict.CANCELLED : BatchVerdict.UNKNOWN;
 		}
 		answer(batch, CANCELLED, now);
 		this.placer.place(now);
@@ -289,10 +301,13 @@
 	/**
 	 * Returns the state of a batch.
 	 * @param id the batch
-	 * @return {@code RUNNING}, {@code QUEUED}, or {@code UNKNOWN} if the batch is not in
-	 * progress
+	 * @return {@code RUNNING}, {@code QUEUED}, {@code CANCELLED}, or {@code UNKNOWN} if
+	 * the batch is neither in progress nor was cancelled
 	 */
 	public BatchVerdict state(BatchId id) {
+		if (this.cancelled.contains(id)) {
+			return BatchVerdict.CANCELLED;
+		}
 		Batch batch = this.batches.get(id);
 		if (batch == null || batch.isAnswered()) {
 			return this.handover.waiting().contains(id) ? BatchVerdict.RUNNING : BatchVerdict.UNKNOWN;
