Count a standstill of 0.3 s against an announcement

Cause: an announcement may still lie in the process when it stands still. The bound of 1 s allowed for entries that forget it, not for entries that receive it late.

From 0.3 s on, the announcements of an entry count no more. With the 0.9 s in which a batch is announced this stays below the 1.3 s after which a caller comes back.

Before: startsNothingAgainIfItStoodStillForLongAfterItAnnouncedTheBatch fails with a standstill of 300 ms. After: it passes.

--- a/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/HeldBatchAnnouncer.java
@@ -58,10 +58,11 @@
 	private static final long ISOLATION_NANOS = 10_000 * NANOS_PER_MILLI;
 
 	/**
-	 * Another entry reports this one lost 1.2 s after its last message, which may have
-	 * been sent 0.5 s before this entry stopped, and forgets its batches 0.5 s later.
+	 * A shorter standstill may delay an announcement that has not left the process, but
+	 * it arrives before a caller can have come back. After 1.2 s another entry may also
+	 * have forgotten what it had received.
 	 */
-	private static final long MAX_STANDSTILL_NANOS = 1_000 * NANOS_PER_MILLI;
+	private static final long MAX_STANDSTILL_NANOS = 300 * NANOS_PER_MILLI;
 
 	private final PeerChannel channel;
 
