--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -112,13 +112,6 @@
 			return compareTo(PAUSE_MANY) > 0;
 		}
 
-		/**
-		 * Whether the fault is drawn only if it is named. Earlier seeds do not have it.
-		 */
-		boolean isNamedOnly() {
-			return this == PAUSE_HALF_OPEN;
-		}
-
 		/** Whether the fault needs callers that connect through the balancer. */
 		boolean needsBalancer() {
 			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN;
--- a/soak/src/test/java/io/coriandermux/soak/FaultRange.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultRange.java
@@ -43,7 +43,6 @@
 	 */
 	List<Fault.Kind> drawKinds(Random random) {
 		List<Fault.Kind> kinds = new ArrayList<>(List.of(Fault.Kind.values()));
-		kinds.removeIf(Fault.Kind::isNamedOnly);
 		if (this.name.equals(ON_SITE)) {
 			kinds.removeIf((kind) -> random.nextInt(100) >= (kind.isOnSite() ? WIDESPREAD_PERCENT : OTHERS_PERCENT));
 			return kinds.isEmpty() ? List.of(Fault.Kind.HALF_OPEN_CALLERS) : kinds;
