--- a/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
@@ -225,7 +225,7 @@
 
 		boolean submit(int tasks, long runMillis) throws InterruptedException {
 			String id = String.format("%016x", SiteCallers.this.lastJobNumber.incrementAndGet());
-			SiteCallers.this.checker.onSubmitted(id, tasks, String.valueOf(runMillis));
+			SiteCallers.this.checker.onSubmitted(id, tasks, JobsClient.spec(runMillis));
 			long end = SiteCallers.this.checker.millis() + GIVE_UP_MILLIS;
 			boolean refused = true;
 			boolean completed = false;
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -624,7 +624,7 @@
 	private boolean submitJob(JobsClient caller, Random callerRandom, int tasks, long runMillis)
 			throws InterruptedException {
 		String id = String.format("%016x", this.lastJobNumber.incrementAndGet());
-		this.checker.onSubmitted(id, tasks, String.valueOf(runMillis));
+		this.checker.onSubmitted(id, tasks, JobsClient.spec(runMillis));
 		boolean refused = true;
 		boolean completed = false;
 		int previous = -1;
