--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.Moment;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.ReleaseBatch;
--- a/core/src/main/java/io/coriandermux/core/dispatch/PeerHoldings.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/PeerHoldings.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.run.BatchId;
 
--- a/core/src/main/java/io/coriandermux/core/dispatch/WaitingRequests.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/WaitingRequests.java
@@ -10,6 +10,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.run.BatchId;
 
 /**
--- a/core/src/main/java/io/coriandermux/core/id/EntryIncarnation.java
+++ b/core/src/main/java/io/coriandermux/core/id/EntryIncarnation.java
@@ -1,14 +1,11 @@
-package io.coriandermux.core.dispatch;
-
-import io.coriandermux.core.id.EntryId;
-import io.coriandermux.core.id.Incarnation;
+package io.coriandermux.core.id;
 
 /**
- * One incarnation of another entry.
+ * One incarnation of an entry.
  *
  * @param entry the entry
  * @param incarnation its incarnation
  */
-record EntryIncarnation(EntryId entry, Incarnation incarnation) {
+public record EntryIncarnation(EntryId entry, Incarnation incarnation) {
 
 }
--- /dev/null
+++ b/core/src/main/java/io/coriandermux/core/message/ClaimAnswer.java
@@ -0,0 +1,17 @@
+package io.coriandermux.core.message;
+
+import java.util.Optional;
+
+import io.coriandermux.core.run.BatchId;
+
+/**
+ * Answers a {@link ClaimBatch}.
+ *
+ * @param batch the batch
+ * @param complete whether the guard has run long enough to know all claims that may
+ * matter
+ * @param holder the other entry that has the batch, empty if the claim is in force
+ */
+public record ClaimAnswer(BatchId batch, boolean complete, Optional<BatchHolder> holder) implements Message {
+
+}
--- a/core/src/main/java/io/coriandermux/core/message/Message.java
+++ b/core/src/main/java/io/coriandermux/core/message/Message.java
@@ -6,6 +6,6 @@
 public sealed interface Message permits Heartbeat, Start, Answer, Refused, CancelTask, Fence, FenceAnswer, Credit,
 		Recall, Release, Demand, Leaving, Forward, ForwardAnswer, ConfigPull, ConfigPush, HomesPull, HomesPush,
 		StartRun, StopRun, RunEnded, HeldRuns, EndpointChanged, SessionPing, SessionPong, TablesOffer, TablesPull,
-		TablesPush, HeldBatches, ReleaseBatch {
+		TablesPush, HeldBatches, ReleaseBatch, ClaimBatch, ClaimAnswer, TakeOverBatch, TakeOverAnswer {
 
 }
--- a/core/src/main/java/io/coriandermux/core/run/RunOutcome.java
+++ b/core/src/main/java/io/coriandermux/core/run/RunOutcome.java
@@ -37,6 +37,9 @@
 	STALLED,
 
 	/** The endpoint was lost together with its runs. */
-	ENDPOINT_LOST
+	ENDPOINT_LOST,
+
+	/** Another entry has claimed the batch of the task, so the run was not started. */
+	CLAIMED
 
 }
--- a/wire/src/main/java/io/coriandermux/wire/RunMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/RunMessages.java
@@ -5,7 +5,13 @@
 import java.util.List;
 import java.util.Set;
 
+import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
+import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.PoolName;
+import io.coriandermux.core.message.BatchHolder;
+import io.coriandermux.core.message.ClaimAnswer;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.EndpointChanged;
 import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
@@ -19,6 +25,8 @@
 import io.coriandermux.core.message.TablesOffer;
 import io.coriandermux.core.message.TablesPull;
 import io.coriandermux.core.message.TablesPush;
+import io.coriandermux.core.message.TakeOverAnswer;
+import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.EndpointLoad;
 import io.coriandermux.core.run.ResourceAmounts;
@@ -54,6 +62,14 @@
 
 	private static final int RELEASE_BATCH = 51;
 
+	private static final int CLAIM_BATCH = 52;
+
+	private static final int CLAIM_ANSWER = 53;
+
+	private static final int TAKE_OVER_BATCH = 54;
+
+	private static final int TAKE_OVER_ANSWER = 55;
+
 	private static final int RUN_FIELDS = 4;
 
 	private static final int START_FIELDS = RUN_FIELDS + 5;
@@ -64,6 +80,12 @@
 
 	private static final int HELD_BATCHES_FIELDS = 3;
 
+	private static final int CLAIM_FIELDS = 3;
+
+	private static final int TAKE_OVER_FIELDS = 3;
+
+	private static final int HOLDER_FIELDS = 3;
+
 	static final List<MessageType<?>> TYPES = List.of(
 			new MessageType<>(START_RUN, StartRun.class, START_FIELDS, RunMessages::writeStart, RunMessages::readStart),
 			new MessageType<>(STOP_RUN, StopRun.class, RUN_FIELDS, (out, message) -> writeRun(out, message.run()),
@@ -104,7 +126,21 @@
 				return new HeldBatch(new BatchId(element.name()), element.number());
 			}))),
 			new MessageType<>(RELEASE_BATCH, ReleaseBatch.class, 1, (out, message) -> out.name(message.batch().value()),
-					(in) -> new ReleaseBatch(new BatchId(in.name()))));
+					(in) -> new ReleaseBatch(new BatchId(in.name()))),
+			new MessageType<>(CLAIM_BATCH, ClaimBatch.class, CLAIM_FIELDS, RunMessages::writeClaim,
+					RunMessages::readClaim),
+			new MessageType<>(CLAIM_ANSWER, ClaimAnswer.class, CLAIM_FIELDS, RunMessages::writeClaimAnswer,
+					RunMessages::readClaimAnswer),
+			new MessageType<>(TAKE_OVER_BATCH, TakeOverBatch.class, TAKE_OVER_FIELDS, (out, message) -> {
+				out.name(message.batch().value());
+				out.number(message.number());
+				out.number(message.keepMillis());
+			}, (in) -> new TakeOverBatch(new BatchId(in.name()), in.number(), in.number())),
+			new MessageType<>(TAKE_OVER_ANSWER, TakeOverAnswer.class, TAKE_OVER_FIELDS, (out, message) -> {
+				out.name(message.batch().value());
+				out.number(message.number());
+				out.flag(message.granted());
+			}, (in) -> new TakeOverAnswer(new BatchId(in.name()), in.number(), in.flag())));
 
 	private RunMessages() {
 	}
@@ -128,6 +164,48 @@
 		return in.list(WireLimits.ELEMENTS, (element) -> new BatchId(element.name()));
 	}
 
+	private static void writeClaim(FieldWriter out, ClaimBatch claim) throws IOException, CodecException {
+		out.name(claim.batch().value());
+		out.number(claim.keepMillis());
+		out.list(claim.replaced().stream().toList(), 1, (element, entry) -> {
+			element.arrayHeader(2);
+			writeEntry(element, entry);
+		});
+	}
+
+	private static ClaimBatch readClaim(FieldReader in) throws IOException, CodecException {
+		return new ClaimBatch(new BatchId(in.name()), in.number(), in.list(1, (element) -> {
+			element.arrayHeader(2, "an entry");
+			return readEntry(element);
+		}).stream().findFirst());
+	}
+
+	private static void writeClaimAnswer(FieldWriter out, ClaimAnswer answer) throws IOException, CodecException {
+		out.name(answer.batch().value());
+		out.flag(answer.complete());
+		out.list(answer.holder().stream().toList(), 1, (element, holder) -> {
+			element.arrayHeader(HOLDER_FIELDS);
+			writeEntry(element, holder.entry());
+			element.number(holder.ageMillis());
+		});
+	}
+
+	private static ClaimAnswer readClaimAnswer(FieldReader in) throws IOException, CodecException {
+		return new ClaimAnswer(new BatchId(in.name()), in.flag(), in.list(1, (element) -> {
+			element.arrayHeader(HOLDER_FIELDS, "a holder");
+			return new BatchHolder(readEntry(element), element.number());
+		}).stream().findFirst());
+	}
+
+	private static void writeEntry(FieldWriter out, EntryIncarnation entry) throws IOException, CodecException {
+		out.name(entry.entry().value());
+		out.number(entry.incarnation().value());
+	}
+
+	private static EntryIncarnation readEntry(FieldReader in) throws IOException, CodecException {
+		return new EntryIncarnation(new EntryId(in.name()), new Incarnation(in.number()));
+	}
+
 	private static void writeAmounts(FieldWriter out, ResourceAmounts amounts) throws IOException, CodecException {
 		out.amount(amounts.millicores());
 		out.amount(amounts.memoryMb());
--- a/wire/src/test/java/io/coriandermux/wire/SampleMessages.java
+++ b/wire/src/test/java/io/coriandermux/wire/SampleMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import io.coriandermux.core.api.CancelJob;
@@ -21,6 +22,7 @@
 import io.coriandermux.core.home.HomeTable;
 import io.coriandermux.core.id.AttemptId;
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.Epoch;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.JobId;
@@ -32,7 +34,10 @@
 import io.coriandermux.core.id.Revision;
 import io.coriandermux.core.id.TaskKey;
 import io.coriandermux.core.message.Answer;
+import io.coriandermux.core.message.BatchHolder;
 import io.coriandermux.core.message.CancelTask;
+import io.coriandermux.core.message.ClaimAnswer;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.ConfigDocument;
 import io.coriandermux.core.message.ConfigPull;
 import io.coriandermux.core.message.ConfigPush;
@@ -67,6 +72,8 @@
 import io.coriandermux.core.message.TablesOffer;
 import io.coriandermux.core.message.TablesPull;
 import io.coriandermux.core.message.TablesPush;
+import io.coriandermux.core.message.TakeOverAnswer;
+import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.EndpointLoad;
 import io.coriandermux.core.run.ResourceAmounts;
@@ -85,6 +92,8 @@
 
 	private static final RunId RUN = new RunId(new BatchId("5c0e7a21d94b36f8"), 1, 2, 3);
 
+	private static final EntryIncarnation HOLDER = new EntryIncarnation(new EntryId("e"), new Incarnation(2));
+
 	private static final OwnerId OWNER = new OwnerId("guild");
 
 	private static final JobId JOB = new JobId("job-1");
@@ -123,7 +132,13 @@
 			new SessionPing(13), new SessionPong(14), new TablesPush(15, BODY), new TablesOffer(16), new TablesPull(17),
 			new HeldBatches(true, List.of(new BatchId("5c0e7a21d94b36f8")),
 					List.of(new HeldBatch(new BatchId("a"), 18), new HeldBatch(new BatchId("b"), 19))),
-			new ReleaseBatch(new BatchId("5c0e7a21d94b36f8")));
+			new ReleaseBatch(new BatchId("5c0e7a21d94b36f8")),
+			new ClaimBatch(new BatchId("5c0e7a21d94b36f8"), 20, Optional.of(HOLDER)),
+			new ClaimBatch(new BatchId("5c0e7a21d94b36f8"), 21, Optional.empty()),
+			new ClaimAnswer(new BatchId("5c0e7a21d94b36f8"), true, Optional.of(new BatchHolder(HOLDER, 22))),
+			new ClaimAnswer(new BatchId("5c0e7a21d94b36f8"), false, Optional.empty()),
+			new TakeOverBatch(new BatchId("5c0e7a21d94b36f8"), 23, 24),
+			new TakeOverAnswer(new BatchId("5c0e7a21d94b36f8"), 25, true));
 
 	private SampleMessages() {
 	}
