Claim a batch at guards before its first start

The entry concluded that the batch was its own from announcements that it had not received.

An entry now claims each batch at the three guards that a hash of the ids selects, and starts it after two have answered that no other entry has it. A claim of another entry that is younger than callers need to return ends the request as unfinished. An older one is released by its entry, or taken over at all guards if that entry can't be asked. Without a listed guard that knows claims nothing changes.

--- a/core/src/main/java/io/coriandermux/core/dispatch/Batch.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/Batch.java
@@ -45,6 +45,8 @@
 
 	private final Set<CallerRef> callers = new LinkedHashSet<>();
 
+	private final List<CallerRequest> requests = new ArrayList<>();
+
 	private boolean started;
 
 	private boolean answered;
@@ -139,6 +141,19 @@
 		return this.callers;
 	}
 
+	void addRequest(CallerRequest added) {
+		this.callers.add(added.caller());
+		this.requests.add(added);
+	}
+
+	/**
+	 * Returns the requests whose callers wait.
+	 * @return the requests
+	 */
+	List<CallerRequest> waitingRequests() {
+		return this.requests.stream().filter((each) -> this.callers.contains(each.caller())).toList();
+	}
+
 	boolean isStarted() {
 		return this.started;
 	}
--- /dev/null
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -0,0 +1,310 @@
+package io.coriandermux.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.coriandermux.core.id.GuardId;
+import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.BatchClaim;
+import io.coriandermux.core.message.ClaimAnswer;
+import io.coriandermux.core.message.ClaimBatch;
+import io.coriandermux.core.message.TakeOverAnswer;
+import io.coriandermux.core.message.TakeOverBatch;
+import io.coriandermux.core.run.BatchId;
+
+/**
+ * Claims of the batches of this entry at guards. A batch starts only after a majority of
+ * the guards that keep its claims have recorded this entry, so that another entry that
+ * receives the batch learns of this one whatever becomes of the links between entries.
+ */
+final class BatchClaims {
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	/**
+	 * A claim is kept for this long after the end of the caller's wait: a start order may
+	 * be carried out 12 s late, and its lease lasts up to 1 s.
+	 */
+	private static final long KEEP_AFTER_MILLIS = 15_000;
+
+	/**
+	 * A start order that was not answered may be carried out 12 s later, and its lease
+	 * lasts up to 1 s.
+	 */
+	private static final long LATE_START_END_NANOS = 14_000 * NANOS_PER_MILLI;
+
+	private final GuardChannel channel;
+
+	private final ClaimListener listener;
+
+	private final DispatchSettings settings;
+
+	private final ClaimGuards guards = new ClaimGuards();
+
+	private final Map<BatchId, Claim> claims = new LinkedHashMap<>();
+
+	private long lastNumber;
+
+	/**
+	 * Creates an instance without guards.
+	 * @param channel sends messages to guards
+	 * @param settings timeouts
+	 * @param listener receives the results
+	 */
+	BatchClaims(GuardChannel channel, DispatchSettings settings, ClaimListener listener) {
+		this.channel = channel;
+		this.settings = settings;
+		this.listener = listener;
+	}
+
+	void onGuardsListed(Set<GuardId> listed, Moment now) {
+		this.guards.onListed(listed, now.nanos());
+		evaluateAll(now);
+	}
+
+	void onGuardConnected(GuardId guard) {
+		this.guards.onConnected(guard);
+		if (!this.guards.isConnected(guard)) {
+			return;
+		}
+		for (Claim claim : new ArrayList<>(this.claims.values())) {
+			if (claim.state == State.TAKING_OVER || claim.takenOver) {
+				claim.pending.add(guard);
+				sendTakeOver(claim, guard);
+			}
+			else if (claim.state == State.CLAIMING_EVERYWHERE || claim.keepers.contains(guard)) {
+				claim.free.remove(guard);
+				ask(claim, guard);
+			}
+		}
+	}
+
+	void onGuardLost(GuardId guard, Moment now) {
+		this.guards.onLost(guard, now.nanos());
+		this.claims.values().forEach((claim) -> {
+			claim.asked.remove(guard);
+			claim.free.remove(guard);
+			claim.pending.remove(guard);
+		});
+		evaluateAll(now);
+	}
+
+	/**
+	 * Claims a batch.
+	 * @param batch the batch
+	 * @param waitMillis time that its caller waits, in milliseconds
+	 * @param replaced the claim of the entry that has released it, if any
+	 * @param now the current time
+	 */
+	void begin(BatchId batch, long waitMillis, Optional<BatchClaim> replaced, Moment now) {
+		Claim claim = new Claim(batch, nextNumber(now), waitMillis + KEEP_AFTER_MILLIS, replaced,
+				this.guards.keepersOf(batch));
+		this.claims.put(batch, claim);
+		if (this.guards.isEmpty()) {
+			grant(claim);
+			return;
+		}
+		// The entry that has released the batch may have taken it over at all guards.
+		List<GuardId> asked = replaced.isPresent() ? this.guards.connected() : claim.keepers;
+		asked.stream().filter(this.guards::isConnected).forEach((guard) -> ask(claim, guard));
+		evaluate(claim, now);
+	}
+
+	/**
+	 * Takes a batch over from an entry that can't be asked.
+	 * @param batch the batch, which was claimed
+	 * @param now the current time
+	 */
+	void takeOver(BatchId batch, Moment now) {
+		Claim claim = this.claims.get(batch);
+		claim.number = nextNumber(now);
+		claim.state = State.TAKING_OVER;
+		this.guards.connected().forEach((guard) -> {
+			claim.pending.add(guard);
+			sendTakeOver(claim, guard);
+		});
+		evaluate(claim, now);
+	}
+
+	// Of two entries that take a batch over, the one that does so later is to win, so the
+	// numbers follow the wall clock. No guarantee depends on that.
+	private long nextNumber(Moment now) {
+		this.lastNumber = Math.max(this.lastNumber + 1, now.epochMillis());
+		return this.lastNumber;
+	}
+
+	/**
+	 * Returns whether runs of a batch may start.
+	 * @param batch the batch
+	 * @return whether the claim of this entry is in force
+	 */
+	boolean isGranted(BatchId batch) {
+		Claim claim = this.claims.get(batch);
+		return claim != null && claim.state == State.GRANTED;
+	}
+
+	void forget(BatchId batch) {
+		this.claims.remove(batch);
+	}
+
+	void onAnswer(GuardId guard, ClaimAnswer answer, Moment now) {
+		this.guards.recordCompleteness(guard, answer.complete());
+		Claim claim = this.claims.get(answer.batch());
+		if (claim == null || !claim.isClaiming() || !claim.asked.contains(guard)) {
+			return;
+		}
+		if (answer.holder().isPresent()) {
+			this.listener.onHeld(claim.batch, answer.holder().get(), now);
+			return;
+		}
+		claim.free.put(guard, answer.complete());
+		evaluate(claim, now);
+	}
+
+	void onAnswer(GuardId guard, TakeOverAnswer answer, Moment now) {
+		Claim claim = this.claims.get(answer.batch());
+		if (claim == null || claim.number != answer.number() || !claim.pending.contains(guard)) {
+			return;
+		}
+		if (!answer.granted()) {
+			this.listener.onOvertaken(claim.batch, guard, now);
+			return;
+		}
+		claim.pending.remove(guard);
+		evaluate(claim, now);
+	}
+
+	void tick(Moment now) {
+		this.guards.expire(now.nanos());
+		evaluateAll(now);
+	}
+
+	private void evaluateAll(Moment now) {
+		for (Claim claim : new ArrayList<>(this.claims.values())) {
+			if (claim.state != State.GRANTED) {
+				evaluate(claim, now);
+			}
+		}
+	}
+
+	private void evaluate(Claim claim, Moment now) {
+		if (claim.state == State.CLAIMING && !claim.hasMajority() && !canHaveMajority(claim)) {
+			claim.state = State.CLAIMING_EVERYWHERE;
+			this.guards.connected()
+				.stream()
+				.filter((guard) -> !claim.asked.contains(guard))
+				.forEach((guard) -> ask(claim, guard));
+		}
+		if (isDecided(claim, now)) {
+			claim.takenOver = claim.state == State.TAKING_OVER;
+			grant(claim);
+		}
+	}
+
+	private void grant(Claim claim) {
+		claim.state = State.GRANTED;
+		this.listener.onGranted(claim.batch);
+	}
+
+	private boolean canHaveMajority(Claim claim) {
+		return claim.keepers.stream().filter(this.guards::canAnswer).count() >= claim.majority();
+	}
+
+	private boolean isDecided(Claim claim, Moment now) {
+		return switch (claim.state) {
+			case CLAIMING -> claim.hasMajority();
+			case CLAIMING_EVERYWHERE -> claim.hasMajority() || isFreeEverywhere(claim, now);
+			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
+					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
+			case GRANTED -> false;
+		};
+	}
+
+	// The runs of a lost guard have ended after the time in which it and its endpoint
+	// notice the loss.
+	private boolean isFreeEverywhere(Claim claim, Moment now) {
+		long endNanos = (this.settings.guardTimeoutMillis() + this.settings.runEndMillis()) * NANOS_PER_MILLI;
+		List<GuardId> connected = this.guards.connected();
+		return !connected.isEmpty() && claim.free.keySet().containsAll(connected) && claim.keepers.stream()
+			.allMatch(
+					(guard) -> this.guards.isConnected(guard) || this.guards.isAbsentFor(guard, endNanos, now.nanos()));
+	}
+
+	private void ask(Claim claim, GuardId guard) {
+		claim.asked.add(guard);
+		this.channel.send(guard, new ClaimBatch(claim.batch, claim.number, claim.keepMillis, claim.replaced));
+	}
+
+	private void sendTakeOver(Claim claim, GuardId guard) {
+		this.channel.send(guard, new TakeOverBatch(claim.batch, claim.number, claim.keepMillis));
+	}
+
+	/** State of a claim. */
+	private enum State {
+
+		/** The guards that keep the claims of the batch are asked. */
+		CLAIMING,
+
+		/** Too few of them can answer, so all guards are asked. */
+		CLAIMING_EVERYWHERE,
+
+		/** All guards end the runs of other entries. */
+		TAKING_OVER,
+
+		/** Runs may start. */
+		GRANTED
+
+	}
+
+	private static final class Claim {
+
+		private final BatchId batch;
+
+		private final long keepMillis;
+
+		private final Optional<BatchClaim> replaced;
+
+		private final List<GuardId> keepers;
+
+		private final Set<GuardId> asked = new LinkedHashSet<>();
+
+		/** The guards that know of no other entry, with whether they can be sure. */
+		private final Map<GuardId, Boolean> free = new LinkedHashMap<>();
+
+		/** The guards that have not answered the take-over. */
+		private final Set<GuardId> pending = new LinkedHashSet<>();
+
+		private State state = State.CLAIMING;
+
+		private long number;
+
+		private boolean takenOver;
+
+		Claim(BatchId batch, long number, long keepMillis, Optional<BatchClaim> replaced, List<GuardId> keepers) {
+			this.batch = batch;
+			this.number = number;
+			this.keepMillis = keepMillis;
+			this.replaced = replaced;
+			this.keepers = keepers;
+		}
+
+		boolean isClaiming() {
+			return this.state == State.CLAIMING || this.state == State.CLAIMING_EVERYWHERE;
+		}
+
+		int majority() {
+			return this.keepers.size() / 2 + 1;
+		}
+
+		boolean hasMajority() {
+			return this.keepers.stream().filter((guard) -> this.free.getOrDefault(guard, false)).count() >= majority();
+		}
+
+	}
+
+}
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -5,12 +5,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.BatchClaim;
+import io.coriandermux.core.message.BatchHolder;
+import io.coriandermux.core.message.ClaimAnswer;
 import io.coriandermux.core.message.EndpointChanged;
 import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
@@ -21,6 +25,7 @@
 import io.coriandermux.core.message.SessionPing;
 import io.coriandermux.core.message.SessionPong;
 import io.coriandermux.core.message.StopRun;
+import io.coriandermux.core.message.TakeOverAnswer;
 import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.RunId;
@@ -51,9 +56,18 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1000;
 
+	/**
+	 * A caller returns 1.3 s after it has given up, and the age of a request is known to
+	 * 0.3 s. A request for a batch that was claimed a shorter time ago was held up on its
+	 * way, or the other one was.
+	 */
+	private static final long MIN_RETURN_MILLIS = 900;
+
 	private static final BatchAnswer CANCELLED = BatchAnswer.of(BatchVerdict.CANCELLED,
 			"the caller cancelled the batch");
 
+	private final EntryId self;
+
 	private final DispatchSettings settings;
 
 	private final CallerChannel callers;
@@ -76,6 +90,8 @@
 
 	private final BatchHandover handover;
 
+	private final BatchClaims claims;
+
 	private final BatchTimesCalculator timesCalculator;
 
 	private final DispatchShutdown shutdown;
@@ -88,6 +104,9 @@
 
 	private boolean placementDue;
 
+	/** Batches whose claim was granted since tasks were placed the last time. */
+	private final List<Batch> newlyGranted = new ArrayList<>();
+
 	/**
 	 * Creates the dispatcher of an entry without configuration and guards.
 	 * @param self id of the entry
@@ -99,6 +118,7 @@
 	 */
 	public BatchDispatcher(EntryId self, DispatchSettings settings, double remoteFactor, DispatchChannels channels,
 			Moment now) {
+		this.self = self;
 		this.settings = settings;
 		this.startedNanos = now.nanos();
 		this.endpoints = new EndpointTable(remoteFactor, new EndpointPreference(self));
@@ -108,7 +128,9 @@
 		this.timesCalculator = new BatchTimesCalculator(settings, this.endpoints, this.runTimes);
 		this.shutdown = new DispatchShutdown(settings);
 		this.handover = new BatchHandover(channels, this.batches::containsKey);
-		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(), this.handover::mayStart);
+		this.claims = new BatchClaims(this.guards, settings, new ClaimResults());
+		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(),
+				(batch, time) -> this.claims.isGranted(batch.id()) && this.handover.mayStart(batch, time));
 	}
 
 	/**
@@ -145,7 +167,7 @@
 	 * @param now the current time
 	 */
 	public void submit(CallerRef caller, String host, String path, BatchRequest request, Moment now) {
-		submit(new CallerRequest(caller, host, path, request, now.nanos(), false), now);
+		submit(new CallerRequest(caller, host, path, request, now.nanos(), false, Optional.empty()), now);
 	}
 
 	private void submit(CallerRequest request, Moment now) {
@@ -170,7 +192,7 @@
 		}
 		Batch known = this.batches.get(request.id());
 		if (known != null && !known.isAnswered()) {
-			known.callers().add(request.caller());
+			known.addRequest(request);
 			this.byCaller.put(request.caller(), known);
 			this.notices.send(NoticeKind.BATCH_RESUBMITTED, request.id().value(),
 					"in progress for " + ageMillis(known, now) + " ms, " + DispatchNotices.describePlacedRuns(known));
@@ -225,7 +247,7 @@
 		if (accepted.mayHaveRun()) {
 			batch.markStarted();
 		}
-		batch.callers().add(accepted.caller());
+		batch.addRequest(accepted);
 		this.byCaller.put(accepted.caller(), batch);
 		this.batches.put(batch.id(), batch);
 		this.placer.add(batch);
@@ -235,8 +257,17 @@
 						+ " ms, expected " + batch.expectedNanos() / NANOS_PER_MILLI + " ms, latest start in "
 						+ (batch.latestStartNanos() - now.nanos()) / NANOS_PER_MILLI + " ms, caller waits "
 						+ request.waitMillis() + " ms, sent up to " + accepted.ageMillis(now) + " ms ago");
+		this.claims.begin(batch.id(), request.waitMillis(), accepted.released(), now);
+		place(now);
+	}
+
+	// A batch counts as queued work only after its claim, because most are placed at once
+	// then.
+	private void place(Moment now) {
 		this.placer.place(now);
-		refuseIfTooLate(batch, now);
+		List<Batch> granted = new ArrayList<>(this.newlyGranted);
+		this.newlyGranted.clear();
+		granted.stream().filter((batch) -> !batch.isAnswered()).forEach((batch) -> refuseIfTooLate(batch, now));
 	}
 
 	// Refuses a batch at once if the queued work ahead of it delays its start too long.
@@ -329,6 +360,16 @@
 		return this.routeTable.find(host, path).map(this.placer::unstartedCount);
 	}
 
+	/**
+	 * Handles a change of the listed guards. Batches are claimed at them before their
+	 * first run.
+	 * @param listed the listed guards that know the messages of claims
+	 * @param now the current time
+	 */
+	public void onGuardsListed(Set<GuardId> listed, Moment now) {
+		this.claims.onGuardsListed(listed, now);
+	}
+
 	/**
 	 * Handles a new link to a guard: sends it the runs that this entry holds there and
 	 * requests to stop those that are no longer needed.
@@ -340,6 +381,7 @@
 			.filter((known) -> known.incarnation().equals(incarnation))
 			.isPresent();
 		this.endpoints.connect(guard, incarnation);
+		this.claims.onGuardConnected(guard);
 		List<BatchTask> running = this.placer.placedTasksAt(guard);
 		if (sameIncarnation) {
 			// The guard reports the state of each of these runs, and some may still be
@@ -369,6 +411,7 @@
 			return;
 		}
 		endpoint.get().setConnected(false);
+		this.claims.onGuardLost(guard, now);
 		long certainEndNanos = endpoint.get().certainEndNanos(this.settings, now.nanos());
 		List<BatchTask> unconfirmed = this.placer.placedTasksAt(guard);
 		unconfirmed.forEach((task) -> task.onGuardLost(endpoint.get(), certainEndNanos,
@@ -476,6 +519,12 @@
 		else if (message instanceof RunEnded ended) {
 			onRunEnded(endpoint.get(), ended, now);
 		}
+		else if (message instanceof ClaimAnswer answer) {
+			this.claims.onAnswer(guard, answer, now);
+		}
+		else if (message instanceof TakeOverAnswer answer) {
+			this.claims.onAnswer(guard, answer, now);
+		}
 	}
 
 	/**
@@ -487,7 +536,7 @@
 	public void placeIfDue(Moment now) {
 		if (this.placementDue) {
 			this.placementDue = false;
-			this.placer.place(now);
+			place(now);
 		}
 	}
 
@@ -547,6 +596,10 @@
 				endpoint.backOffUntil(now.nanos() + UNAVAILABLE_BACKOFF_NANOS);
 				retry(task, ended, now);
 			}
+			case CLAIMED -> {
+				retry(task, ended, now);
+				giveUp(batch, "guard " + endpoint.guard() + " has a claim of another entry", now);
+			}
 			case NOT_STARTED -> {
 				endpoint.backOffUntil(now.nanos() + NOT_STARTED_BACKOFF_NANOS);
 				retry(task, ended, now);
@@ -591,9 +644,10 @@
 		this.handover.waiting()
 			.removeIf((request) -> now.nanos() >= this.timesCalculator.replyDeadlineNanos(request))
 			.forEach((request) -> answerUnfinished(request, "runs of an earlier request have not ended", now));
+		this.claims.tick(now);
 		this.handover.tick(this::sentNanosByBatch, now);
 		serveReadyRequests(now);
-		this.placer.place(now);
+		place(now);
 	}
 
 	private void checkDeadlines(Batch batch, Moment now) {
@@ -708,12 +762,13 @@
 			return;
 		}
 		this.batches.remove(batch.id());
+		this.claims.forget(batch.id());
 		serveReadyRequests(now);
 		this.handover.confirmEnd(batch.id());
 	}
 
 	private void serveReadyRequests(Moment now) {
-		this.handover.removeReady().forEach((request) -> submit(request.afterEarlierRuns(), now));
+		this.handover.removeReady().forEach((request) -> submit(request, now));
 	}
 
 	private Map<BatchId, Long> sentNanosByBatch() {
@@ -746,4 +801,70 @@
 		return (now.nanos() - batch.arrivedNanos()) / NANOS_PER_MILLI;
 	}
 
+	private void giveUp(Batch batch, String reason, Moment now) {
+		if (!batch.isAnswered()) {
+			answer(batch, BatchAnswer.of(BatchVerdict.UNFINISHED, reason), now);
+		}
+	}
+
+	/**
+	 * Reacts to the results of claims.
+	 */
+	private final class ClaimResults implements ClaimListener {
+
+		@Override
+		public void onGranted(BatchId id) {
+			BatchDispatcher.this.placementDue = true;
+			BatchDispatcher.this.newlyGranted.add(BatchDispatcher.this.batches.get(id));
+		}
+
+		@Override
+		public void onHeld(BatchId id, BatchHolder holder, Moment now) {
+			Batch batch = BatchDispatcher.this.batches.get(id);
+			if (batch == null || batch.isAnswered()) {
+				return;
+			}
+			EntryIncarnation entry = holder.claim().entry();
+			boolean own = entry.entry().equals(BatchDispatcher.this.self);
+			String reason = "entry " + entry.entry() + " claimed the batch " + holder.ageMillis() + " ms ago";
+			BatchDispatcher.this.notices.send(NoticeKind.BATCH_CLAIM_DENIED, id.value(),
+					reason + ", incarnation " + entry.incarnation().value());
+			if (!own && !batch.isStarted() && holder.ageMillis() < MIN_RETURN_MILLIS) {
+				giveUp(batch, reason, now);
+			}
+			else if (own || !deferTo(batch, holder.claim())) {
+				markStarted(batch);
+				BatchDispatcher.this.claims.takeOver(id, now);
+			}
+		}
+
+		@Override
+		public void onOvertaken(BatchId id, GuardId guard, Moment now) {
+			Batch batch = BatchDispatcher.this.batches.get(id);
+			if (batch != null) {
+				giveUp(batch, "another entry has taken the batch over at " + guard, now);
+			}
+		}
+
+		private boolean deferTo(Batch batch, BatchClaim claim) {
+			List<CallerRequest> requests = batch.waitingRequests();
+			if (!BatchDispatcher.this.handover.deferTo(requests, claim)) {
+				return false;
+			}
+			requests.forEach((request) -> BatchDispatcher.this.byCaller.remove(request.caller()));
+			BatchDispatcher.this.placer.remove(batch);
+			BatchDispatcher.this.batches.remove(batch.id());
+			BatchDispatcher.this.claims.forget(batch.id());
+			return true;
+		}
+
+		// The other entry may have run the batch, so it can't be refused as not run.
+		private void markStarted(Batch batch) {
+			BatchDispatcher.this.placer.remove(batch);
+			batch.markStarted();
+			BatchDispatcher.this.placer.add(batch);
+		}
+
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchHandover.java
@@ -11,6 +11,7 @@
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.BatchClaim;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.ReleaseBatch;
 import io.coriandermux.core.notice.Notice;
@@ -103,6 +104,23 @@
 		holders.forEach((peer) -> this.channel.send(peer.entry(), new ReleaseBatch(request.id())));
 	}
 
+	/**
+	 * Lets requests wait for the entry that has claimed their batch.
+	 * @param requests the requests for the batch
+	 * @param claim the claim of the other entry
+	 * @return whether that entry is connected, so that it can be requested to give the
+	 * batch up
+	 */
+	boolean deferTo(List<CallerRequest> requests, BatchClaim claim) {
+		BatchId batch = requests.get(0).id();
+		if (!this.holdings.add(claim.entry(), batch)) {
+			return false;
+		}
+		requests.forEach(this::defer);
+		this.waiting.recordClaim(batch, claim);
+		return true;
+	}
+
 	/**
 	 * Removes the requests that wait for nothing any more.
 	 * @return the removed requests, which are to be served
@@ -132,6 +150,7 @@
 	 */
 	void onHeldBatches(EntryIncarnation peer, HeldBatches announcement) {
 		this.holdings.update(peer, announcement);
+		announcement.ended().forEach((batch) -> this.waiting.onReleased(peer, batch));
 		if (announcement.complete()) {
 			// The request may have been lost with the previous link.
 			this.waiting.waitingFor(peer)
--- a/core/src/main/java/io/coriandermux/core/dispatch/CallerRequest.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/CallerRequest.java
@@ -1,6 +1,9 @@
 package io.coriandermux.core.dispatch;
 
+import java.util.Optional;
+
 import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.BatchClaim;
 import io.coriandermux.core.run.BatchId;
 
 /**
@@ -13,9 +16,10 @@
  * @param receivedNanos time on the monotonic clock at which the entry received it
  * @param mayHaveRun whether runs of an earlier request for the same batch were sent to
  * guards, so that the batch can't be refused as not run
+ * @param released the claim of the entry that has released the batch, if any
  */
 record CallerRequest(CallerRef caller, String host, String path, BatchRequest request, long receivedNanos,
-		boolean mayHaveRun) {
+		boolean mayHaveRun, Optional<BatchClaim> released) {
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -50,10 +54,11 @@
 
 	/**
 	 * Returns this request as it is served after the runs of an earlier one have ended.
+	 * @param claim the claim of the entry that has released the batch, if any
 	 * @return the request
 	 */
-	CallerRequest afterEarlierRuns() {
-		return new CallerRequest(this.caller, this.host, this.path, this.request, this.receivedNanos, true);
+	CallerRequest afterEarlierRuns(Optional<BatchClaim> claim) {
+		return new CallerRequest(this.caller, this.host, this.path, this.request, this.receivedNanos, true, claim);
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimListener.java
@@ -0,0 +1,35 @@
+package io.coriandermux.core.dispatch;
+
+import io.coriandermux.core.id.GuardId;
+import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.BatchHolder;
+import io.coriandermux.core.run.BatchId;
+
+/**
+ * Receives the results of claims.
+ */
+interface ClaimListener {
+
+	/**
+	 * Reports that runs of a batch may start.
+	 * @param batch the batch
+	 */
+	void onGranted(BatchId batch);
+
+	/**
+	 * Reports that another entry has claimed a batch.
+	 * @param batch the batch
+	 * @param holder the claim and its age
+	 * @param now the current time
+	 */
+	void onHeld(BatchId batch, BatchHolder holder, Moment now);
+
+	/**
+	 * Reports that another entry has taken a batch over.
+	 * @param batch the batch
+	 * @param guard the guard that has said so
+	 * @param now the current time
+	 */
+	void onOvertaken(BatchId batch, GuardId guard, Moment now);
+
+}
--- a/core/src/main/java/io/coriandermux/core/dispatch/PeerHoldings.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/PeerHoldings.java
@@ -82,6 +82,21 @@
 		announcement.held().forEach((held) -> holding.batches.add(held.batch()));
 	}
 
+	/**
+	 * Records that a connected entry has a batch that it has not announced.
+	 * @param peer the entry
+	 * @param batch the batch
+	 * @return whether the entry is connected
+	 */
+	boolean add(EntryIncarnation peer, BatchId batch) {
+		Holding holding = this.holdings.get(peer);
+		if (holding == null || holding.lost) {
+			return false;
+		}
+		holding.batches.add(batch);
+		return true;
+	}
+
 	/**
 	 * Forgets the batches of lost entries whose permissions have ended.
 	 * @param nowNanos the current time on the monotonic clock
--- a/core/src/main/java/io/coriandermux/core/dispatch/WaitingRequests.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/WaitingRequests.java
@@ -6,11 +6,13 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
 import io.coriandermux.core.id.EntryIncarnation;
+import io.coriandermux.core.message.BatchClaim;
 import io.coriandermux.core.run.BatchId;
 
 /**
@@ -40,6 +42,27 @@
 		waiting.holders.addAll(holders);
 	}
 
+	/**
+	 * Records the claim under which another entry has a batch.
+	 * @param id the batch, for which a request waits
+	 * @param claim the claim
+	 */
+	void recordClaim(BatchId id, BatchClaim claim) {
+		this.byBatch.get(id).claim = Optional.of(claim);
+	}
+
+	/**
+	 * Records that an entry has released a batch.
+	 * @param holder the entry
+	 * @param id the batch
+	 */
+	void onReleased(EntryIncarnation holder, BatchId id) {
+		Waiting waiting = this.byBatch.get(id);
+		if (waiting != null) {
+			waiting.released = waiting.claim.filter((claim) -> claim.entry().equals(holder));
+		}
+	}
+
 	/**
 	 * Returns the batches that wait for an entry.
 	 * @param holder the entry
@@ -68,7 +91,7 @@
 	 * Removes the requests that wait for nothing any more.
 	 * @param heldHere returns whether this entry has runs of a batch
 	 * @param heldElsewhere returns whether another entry may have runs of a batch
-	 * @return the removed requests
+	 * @return the removed requests, as they are served now
 	 */
 	List<CallerRequest> removeReady(Predicate<BatchId> heldHere, BiPredicate<EntryIncarnation, BatchId> heldElsewhere) {
 		List<BatchId> ready = this.byBatch.entrySet()
@@ -78,7 +101,12 @@
 				.noneMatch((holder) -> heldElsewhere.test(holder, entry.getKey())))
 			.map(Map.Entry::getKey)
 			.toList();
-		return ready.stream().flatMap((id) -> removeAll(id).stream()).toList();
+		List<CallerRequest> requests = new ArrayList<>();
+		ready.forEach((id) -> {
+			Waiting waiting = this.byBatch.remove(id);
+			waiting.requests.forEach((request) -> requests.add(request.afterEarlierRuns(waiting.released)));
+		});
+		return requests;
 	}
 
 	/**
@@ -127,6 +155,10 @@
 
 		private final Set<EntryIncarnation> holders = new LinkedHashSet<>();
 
+		private Optional<BatchClaim> claim = Optional.empty();
+
+		private Optional<BatchClaim> released = Optional.empty();
+
 	}
 
 }
--- a/core/src/main/java/io/coriandermux/core/message/BatchHolder.java
+++ b/core/src/main/java/io/coriandermux/core/message/BatchHolder.java
@@ -1,13 +1,11 @@
 package io.coriandermux.core.message;
 
-import io.coriandermux.core.id.EntryIncarnation;
-
 /**
  * The entry that has claimed a batch.
  *
- * @param entry the entry
+ * @param claim its claim
  * @param ageMillis time since its claim, in milliseconds
  */
-public record BatchHolder(EntryIncarnation entry, long ageMillis) {
+public record BatchHolder(BatchClaim claim, long ageMillis) {
 
 }
--- a/core/src/main/java/io/coriandermux/core/message/ClaimBatch.java
+++ b/core/src/main/java/io/coriandermux/core/message/ClaimBatch.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 
-import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.run.BatchId;
 
 /**
@@ -11,9 +10,12 @@
  * it is the one to replace.
  *
  * @param batch the batch
+ * @param number number of the claim, which rises with each claim of the entry
  * @param keepMillis time for which the guard keeps the claim, in milliseconds
- * @param replaced the entry whose claim is replaced, because all of its runs have ended
+ * @param replaced the claim of another entry that is replaced together with its earlier
+ * ones, because all runs under it have ended
  */
-public record ClaimBatch(BatchId batch, long keepMillis, Optional<EntryIncarnation> replaced) implements Message {
+public record ClaimBatch(BatchId batch, long number, long keepMillis,
+		Optional<BatchClaim> replaced) implements Message {
 
 }
--- a/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
+++ b/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
@@ -219,7 +219,10 @@
 	 * An entry is lost that has announced batches. They count as held until the
 	 * permissions of its runs have ended.
 	 */
-	HOLDER_LOST(2729);
+	HOLDER_LOST(2729),
+
+	/** A guard has answered the claim of a batch with the claim of another entry. */
+	BATCH_CLAIM_DENIED(2730);
 
 	private final int number;
 
--- a/wire/src/main/java/io/coriandermux/wire/RunMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/RunMessages.java
@@ -9,6 +9,7 @@
 import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.PoolName;
+import io.coriandermux.core.message.BatchClaim;
 import io.coriandermux.core.message.BatchHolder;
 import io.coriandermux.core.message.ClaimAnswer;
 import io.coriandermux.core.message.ClaimBatch;
@@ -80,11 +81,15 @@
 
 	private static final int HELD_BATCHES_FIELDS = 3;
 
-	private static final int CLAIM_FIELDS = 3;
+	private static final int CLAIM_FIELDS = 4;
+
+	private static final int CLAIM_ANSWER_FIELDS = 3;
+
+	private static final int REPLACED_FIELDS = 3;
 
 	private static final int TAKE_OVER_FIELDS = 3;
 
-	private static final int HOLDER_FIELDS = 3;
+	private static final int HOLDER_FIELDS = 4;
 
 	static final List<MessageType<?>> TYPES = List.of(
 			new MessageType<>(START_RUN, StartRun.class, START_FIELDS, RunMessages::writeStart, RunMessages::readStart),
@@ -129,7 +134,7 @@
 					(in) -> new ReleaseBatch(new BatchId(in.name()))),
 			new MessageType<>(CLAIM_BATCH, ClaimBatch.class, CLAIM_FIELDS, RunMessages::writeClaim,
 					RunMessages::readClaim),
-			new MessageType<>(CLAIM_ANSWER, ClaimAnswer.class, CLAIM_FIELDS, RunMessages::writeClaimAnswer,
+			new MessageType<>(CLAIM_ANSWER, ClaimAnswer.class, CLAIM_ANSWER_FIELDS, RunMessages::writeClaimAnswer,
 					RunMessages::readClaimAnswer),
 			new MessageType<>(TAKE_OVER_BATCH, TakeOverBatch.class, TAKE_OVER_FIELDS, (out, message) -> {
 				out.name(message.batch().value());
@@ -166,17 +171,18 @@
 
 	private static void writeClaim(FieldWriter out, ClaimBatch claim) throws IOException, CodecException {
 		out.name(claim.batch().value());
+		out.number(claim.number());
 		out.number(claim.keepMillis());
-		out.list(claim.replaced().stream().toList(), 1, (element, entry) -> {
-			element.arrayHeader(2);
-			writeEntry(element, entry);
+		out.list(claim.replaced().stream().toList(), 1, (element, replaced) -> {
+			element.arrayHeader(REPLACED_FIELDS);
+			writeClaimOf(element, replaced);
 		});
 	}
 
 	private static ClaimBatch readClaim(FieldReader in) throws IOException, CodecException {
-		return new ClaimBatch(new BatchId(in.name()), in.number(), in.list(1, (element) -> {
-			element.arrayHeader(2, "an entry");
-			return readEntry(element);
+		return new ClaimBatch(new BatchId(in.name()), in.number(), in.number(), in.list(1, (element) -> {
+			element.arrayHeader(REPLACED_FIELDS, "a claim");
+			return readClaimOf(element);
 		}).stream().findFirst());
 	}
 
@@ -185,7 +191,7 @@
 		out.flag(answer.complete());
 		out.list(answer.holder().stream().toList(), 1, (element, holder) -> {
 			element.arrayHeader(HOLDER_FIELDS);
-			writeEntry(element, holder.entry());
+			writeClaimOf(element, holder.claim());
 			element.number(holder.ageMillis());
 		});
 	}
@@ -193,17 +199,19 @@
 	private static ClaimAnswer readClaimAnswer(FieldReader in) throws IOException, CodecException {
 		return new ClaimAnswer(new BatchId(in.name()), in.flag(), in.list(1, (element) -> {
 			element.arrayHeader(HOLDER_FIELDS, "a holder");
-			return new BatchHolder(readEntry(element), element.number());
+			return new BatchHolder(readClaimOf(element), element.number());
 		}).stream().findFirst());
 	}
 
-	private static void writeEntry(FieldWriter out, EntryIncarnation entry) throws IOException, CodecException {
-		out.name(entry.entry().value());
-		out.number(entry.incarnation().value());
+	private static void writeClaimOf(FieldWriter out, BatchClaim claim) throws IOException, CodecException {
+		out.name(claim.entry().entry().value());
+		out.number(claim.entry().incarnation().value());
+		out.number(claim.number());
 	}
 
-	private static EntryIncarnation readEntry(FieldReader in) throws IOException, CodecException {
-		return new EntryIncarnation(new EntryId(in.name()), new Incarnation(in.number()));
+	private static BatchClaim readClaimOf(FieldReader in) throws IOException, CodecException {
+		EntryIncarnation entry = new EntryIncarnation(new EntryId(in.name()), new Incarnation(in.number()));
+		return new BatchClaim(entry, in.number());
 	}
 
 	private static void writeAmounts(FieldWriter out, ResourceAmounts amounts) throws IOException, CodecException {
--- a/wire/src/test/java/io/coriandermux/wire/SampleMessages.java
+++ b/wire/src/test/java/io/coriandermux/wire/SampleMessages.java
@@ -34,6 +34,7 @@
 import io.coriandermux.core.id.Revision;
 import io.coriandermux.core.id.TaskKey;
 import io.coriandermux.core.message.Answer;
+import io.coriandermux.core.message.BatchClaim;
 import io.coriandermux.core.message.BatchHolder;
 import io.coriandermux.core.message.CancelTask;
 import io.coriandermux.core.message.ClaimAnswer;
@@ -92,7 +93,8 @@
 
 	private static final RunId RUN = new RunId(new BatchId("5c0e7a21d94b36f8"), 1, 2, 3);
 
-	private static final EntryIncarnation HOLDER = new EntryIncarnation(new EntryId("e"), new Incarnation(2));
+	private static final BatchClaim HELD = new BatchClaim(new EntryIncarnation(new EntryId("e"), new Incarnation(2)),
+			27);
 
 	private static final OwnerId OWNER = new OwnerId("guild");
 
@@ -133,9 +135,9 @@
 			new HeldBatches(true, List.of(new BatchId("5c0e7a21d94b36f8")),
 					List.of(new HeldBatch(new BatchId("a"), 18), new HeldBatch(new BatchId("b"), 19))),
 			new ReleaseBatch(new BatchId("5c0e7a21d94b36f8")),
-			new ClaimBatch(new BatchId("5c0e7a21d94b36f8"), 20, Optional.of(HOLDER)),
-			new ClaimBatch(new BatchId("5c0e7a21d94b36f8"), 21, Optional.empty()),
-			new ClaimAnswer(new BatchId("5c0e7a21d94b36f8"), true, Optional.of(new BatchHolder(HOLDER, 22))),
+			new ClaimBatch(new BatchId("5c0e7a21d94b36f8"), 26, 20, Optional.of(HELD)),
+			new ClaimBatch(new BatchId("5c0e7a21d94b36f8"), 28, 21, Optional.empty()),
+			new ClaimAnswer(new BatchId("5c0e7a21d94b36f8"), true, Optional.of(new BatchHolder(HELD, 22))),
 			new ClaimAnswer(new BatchId("5c0e7a21d94b36f8"), false, Optional.empty()),
 			new TakeOverBatch(new BatchId("5c0e7a21d94b36f8"), 23, 24),
 			new TakeOverAnswer(new BatchId("5c0e7a21d94b36f8"), 25, true));
