Test the claims of an entry

With claims in use the age of a request no longer decides whether it may start: another entry that has the batch is found at the guards, however late the request was read.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -94,6 +94,14 @@
 		evaluateAll(now);
 	}
 
+	/**
+	 * Returns whether batches start only after a claim.
+	 * @return whether a guard is listed that knows claims
+	 */
+	boolean isInUse() {
+		return !this.guards.isEmpty();
+	}
+
 	/**
 	 * Claims a batch.
 	 * @param batch the batch
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -130,7 +130,7 @@
 		this.handover = new BatchHandover(channels, this.batches::containsKey);
 		this.claims = new BatchClaims(this.guards, settings, new ClaimResults());
 		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(),
-				(batch, time) -> this.claims.isGranted(batch.id()) && this.handover.mayStart(batch, time));
+				(batch, time) -> this.claims.isGranted(batch.id()) && isWithinTime(batch, time));
 	}
 
 	/**
@@ -213,7 +213,7 @@
 			this.handover.defer(request);
 			return;
 		}
-		if (!this.handover.mayStart(request, now)) {
+		if (!this.claims.isInUse() && !this.handover.mayStart(request, now)) {
 			refuse(request, BatchVerdict.UNAVAILABLE,
 					"sent up to " + request.ageMillis(now) + " ms ago, another entry may have the batch",
 					RETRY_AFTER_MILLIS);
@@ -650,8 +650,13 @@
 		place(now);
 	}
 
+	// Without claims, other entries know of a batch only if it was announced in time.
+	private boolean isWithinTime(Batch batch, Moment now) {
+		return this.claims.isInUse() || this.handover.mayStart(batch, now);
+	}
+
 	private void checkDeadlines(Batch batch, Moment now) {
-		if (batch.hasWaitingTask() && !this.handover.mayStart(batch, now)) {
+		if (batch.hasWaitingTask() && !isWithinTime(batch, now)) {
 			answer(batch,
 					unfinishedOrUnavailable(batch, "another entry may have the batch, which was not announced in time"),
 					now);
