Send the answers to claims to the incarnation that has claimed

The guard sent each message to the entry of that name. If an entry has started again and the decision thread doesn't know it yet, the answer to a claim of its former incarnation would count as the answer to the claim that the new one makes. The answers now go to the incarnation that the decisions know, as the requests of entries do. Messages of claims are counted.

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
@@ -14,9 +14,13 @@
 import io.coriandermux.core.lease.OrderResult;
 import io.coriandermux.core.lease.Poll;
 import io.coriandermux.core.lease.PollAnswer;
+import io.coriandermux.core.message.ClaimAnswer;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.Heartbeat;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.RunEnded;
+import io.coriandermux.core.message.TakeOverAnswer;
+import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.daemon.log.LogEvent;
 import io.coriandermux.daemon.run.DecisionLoop;
@@ -40,6 +44,9 @@
 
 	private final LeaseManager leaseManager;
 
+	/** Entries whose link is established. Used by the decision thread only. */
+	private final ConnectedPeers connectedPeers;
+
 	/** Written by the decision thread, read by the threads that read metrics. */
 	private volatile OptionalLong oldestConfirmation = OptionalLong.empty();
 
@@ -60,6 +67,7 @@
 			throws IOException {
 		this.process = new BatchProcess(PeerRole.GUARD, settings.process(), time, store, new BatchProcess.EventHandlers(
 				DecisionLoop.NO_AFTER_BATCH_ACTION, this::tick, new Listener(), this::restoreReport));
+		this.connectedPeers = new ConnectedPeers(this.process.links()::send);
 		// The fencing token is the wall clock at the start, so it rises with each
 		// incarnation. If the clock was set back, the endpoint refuses the token and the
 		// lease manager raises it.
@@ -181,7 +189,16 @@
 				.metrics()
 				.recordDuration("runs.time", TimeUnit.MILLISECONDS.toNanos(ended.runMillis()));
 		}
-		this.process.links().send(new PeerName(PeerRole.ENTRY, entry.value()), message);
+		PeerName peer = new PeerName(PeerRole.ENTRY, entry.value());
+		if (message instanceof ClaimAnswer || message instanceof TakeOverAnswer) {
+			// The next incarnation of the entry would take it for the answer to its own
+			// claim.
+			this.process.context().metrics().count("messages.sent." + message.getClass().getSimpleName());
+			this.connectedPeers.send(peer, message);
+		}
+		else {
+			this.process.links().send(peer, message);
+		}
 	}
 
 	private final class AnswerListener implements OrderAnswerListener {
@@ -215,6 +232,7 @@
 		@Override
 		public boolean onConnected(PeerIdentity peer) {
 			return offer(() -> {
+				BatchGuardShell.this.connectedPeers.onConnected(peer);
 				BatchGuardShell.this.context()
 					.log()
 					.record(LogEvent.LINK_UP, peer.name().toString(), "incarnation " + peer.incarnation().value());
@@ -226,6 +244,7 @@
 		@Override
 		public boolean onLost(PeerIdentity peer) {
 			return offer(() -> {
+				BatchGuardShell.this.connectedPeers.onLost(peer);
 				BatchGuardShell.this.context()
 					.log()
 					.record(LogEvent.PEER_LOST, peer.name().toString(), "incarnation " + peer.incarnation().value());
@@ -240,8 +259,15 @@
 				BatchGuardShell.this.process.links().acknowledge(peer, heartbeat.clockNanos());
 				return true;
 			}
-			return offer(() -> BatchGuardShell.this.leaseManager.onMessage(new EntryId(peer.name().id()),
-					peer.incarnation(), message, BatchGuardShell.this.process.now()));
+			return offer(() -> {
+				if (message instanceof ClaimBatch || message instanceof TakeOverBatch) {
+					BatchGuardShell.this.context()
+						.metrics()
+						.count("messages.received." + message.getClass().getSimpleName());
+				}
+				BatchGuardShell.this.leaseManager.onMessage(new EntryId(peer.name().id()), peer.incarnation(), message,
+						BatchGuardShell.this.process.now());
+			});
 		}
 
 		@Override
