Announce protocol 3 and list the guards that know claims

Entries select the guards that keep the claims of a batch from the guards that the store lists. ClaimGuards passes those with protocol 3 to the dispatcher after each change; a connected guard stays listed while its announcement has expired. Claims to a new incarnation of a guard wait until its announcement is read, for 2 s at most: if the store is unavailable, what its previous incarnation announced counts. A guard of an older version gets none. onGuardsListed of the dispatcher is without effect yet.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.EntryIncarnation;
@@ -329,6 +330,14 @@
 		return this.routeTable.find(host, path).map(this.placer::unstartedCount);
 	}
 
+	/**
+	 * Sets the guards at which batches are claimed. Without any, batches are not claimed.
+	 * @param guards the guards that the store lists and that know the messages of claims
+	 * @param now the current time
+	 */
+	public void onGuardsListed(Set<GuardId> guards, Moment now) {
+	}
+
 	/**
 	 * Handles a new link to a guard: sends it the runs that this entry holds there and
 	 * requests to stop those that are no longer needed.
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
@@ -33,11 +33,11 @@
 	/**
 	 * Protocol of this build. A process closes the connection when it receives a message
 	 * type that it does not know, so an entry sends messages of a later protocol only to
-	 * entries that have announced it. 1: all types up to the exchange of the
+	 * processes that have announced it. 1: all types up to the exchange of the
 	 * configuration, and the value of announcements without this field. 2: the hand-over
-	 * of batches.
+	 * of batches. 3: claims of batches at guards.
 	 */
-	static final int PROTOCOL = 2;
+	static final int PROTOCOL = 3;
 
 	private static final String PROTOCOL_FIELD = "protocol";
 
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -25,6 +25,8 @@
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.ClaimAnswer;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.Heartbeat;
 import io.coriandermux.core.message.HeldBatches;
 import io.coriandermux.core.message.Message;
@@ -33,6 +35,8 @@
 import io.coriandermux.core.message.TablesOffer;
 import io.coriandermux.core.message.TablesPull;
 import io.coriandermux.core.message.TablesPush;
+import io.coriandermux.core.message.TakeOverAnswer;
+import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.daemon.log.LogEvent;
 import io.coriandermux.daemon.run.DecisionLoop;
@@ -89,6 +93,8 @@
 
 	private final HandoverPeers handoverPeers = new HandoverPeers(this::onHandoverPeerConnected);
 
+	private final ClaimGuards claimGuards;
+
 	/**
 	 * Parses the documents that other entries send, because parsing would block the
 	 * decision thread for too long.
@@ -126,11 +132,10 @@
 		this.exchange = new TablesExchange(new PeerName(PeerRole.ENTRY, this.process.id()), this.links::send);
 		this.dispatcher = new BatchDispatcher(new EntryId(this.process.id()), DispatchSettings.defaults(),
 				settings.remoteFactor(),
-				new DispatchChannels(
-						this::deliverAnswer, (guard, message) -> this.connectedPeers
-							.send(new PeerName(PeerRole.GUARD, guard.value()), message),
-						this::sendToEntry, this.process::record),
+				new DispatchChannels(this::deliverAnswer, this::sendToGuard, this::sendToEntry, this.process::record),
 				time.now());
+		this.claimGuards = new ClaimGuards(this::sendClaim, this.process::onDropped,
+				(guards) -> this.dispatcher.onGuardsListed(guards, this.process.now()));
 		this.process.start(() -> this.dispatcher.status(this.process.now()));
 		this.configWatch = new StoreWatch(store, config.key(), BatchIntervals.CONFIG_WATCH_TIMEOUT_MILLIS,
 				this::onConfigChanged, () -> {
@@ -207,6 +212,7 @@
 	}
 
 	private void tick() {
+		this.claimGuards.tick(this.process.now().nanos());
 		this.dispatcher.tick(this.process.now());
 		this.exchange.tick(this.process.now().nanos());
 		DispatchStatus status = this.dispatcher.status(this.process.now());
@@ -249,6 +255,7 @@
 
 	private void updateLinks(Map<PeerName, Member> members) {
 		this.handoverPeers.onMembers(members.values());
+		this.claimGuards.onMembers(members.values());
 		members.forEach((name, member) -> {
 			// Of two entries, the one with the lower id opens the link, so that there
 			// is only one link between them.
@@ -274,6 +281,7 @@
 		this.context.log()
 			.record(LogEvent.LINK_UP, peer.name().toString(), "incarnation " + peer.incarnation().value());
 		if (peer.name().role() == PeerRole.GUARD) {
+			this.claimGuards.onConnected(peer, this.process.now().nanos());
 			this.dispatcher.onGuardConnected(new GuardId(peer.name().id()), peer.incarnation());
 		}
 		else {
@@ -291,12 +299,28 @@
 		this.connectedPeers.send(new PeerName(PeerRole.ENTRY, entry.value()), message);
 	}
 
+	private void sendToGuard(GuardId guard, Message message) {
+		PeerName peer = new PeerName(PeerRole.GUARD, guard.value());
+		if (message instanceof ClaimBatch || message instanceof TakeOverBatch) {
+			this.claimGuards.send(peer, message);
+		}
+		else {
+			this.connectedPeers.send(peer, message);
+		}
+	}
+
+	private void sendClaim(PeerName guard, Message message) {
+		this.context.metrics().count("messages.sent." + message.getClass().getSimpleName());
+		this.connectedPeers.send(guard, message);
+	}
+
 	private void onPeerLost(PeerIdentity peer) {
 		this.connectedPeers.onLost(peer);
 		this.context.log()
 			.record(LogEvent.PEER_LOST, peer.name().toString(), "incarnation " + peer.incarnation().value());
 		if (peer.name().role() == PeerRole.GUARD) {
 			this.dispatcher.onGuardLost(new GuardId(peer.name().id()), peer.incarnation(), this.process.now());
+			this.claimGuards.onLost(peer);
 		}
 		else {
 			this.exchange.onEntryLost(peer.name());
@@ -323,6 +347,9 @@
 			this.confirmations.onPing(peer, ping, !this.receivers.isEmpty(), this.process.now().nanos());
 		}
 		else if (peer.name().role() == PeerRole.GUARD) {
+			if (message instanceof ClaimAnswer || message instanceof TakeOverAnswer) {
+				this.context.metrics().count("messages.received." + message.getClass().getSimpleName());
+			}
 			this.dispatcher.onMessage(new GuardId(peer.name().id()), peer.incarnation(), message, this.process.now());
 		}
 		else if (message instanceof HeldBatches || message instanceof ReleaseBatch) {
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
@@ -97,6 +97,18 @@
 		}
 	}
 
+	// Guards against entries that claim no batches, because the guards do not announce
+	// that they know the messages for it.
+	@Example
+	void entriesAndGuardsAnnounceThatTheyKnowClaims() throws Exception {
+		try (BatchEntryShell entry = entry("entry-1", this.store); BatchGuardShell guard = guard()) {
+			await(() -> this.store.readPrefix(AnnouncementFormat.PREFIX).entries().size() == 2);
+			assertThat(this.store.readPrefix(AnnouncementFormat.PREFIX).entries())
+				.allMatch((member) -> member.value().contains("\"protocol\":3"));
+			assertThat(entry.hasFailed() || guard.hasFailed()).isFalse();
+		}
+	}
+
 	// Guards against runs that continue while their entry can't notice that their caller
 	// has disconnected.
 	@Example
