Prepare the model for claims

ClusterModel.CLAIMS lets each incarnation of an entry know the guards before it links. Three of four clusters then start when the guards are old enough to know all claims, and there are up to seven guards, more than keep the claims of a batch.

--- a/core/src/test/java/io/coriandermux/core/model/ClusterModel.java
+++ b/core/src/test/java/io/coriandermux/core/model/ClusterModel.java
@@ -14,11 +14,20 @@
  */
 final class ClusterModel {
 
+	/** Whether the guards know claims; the entries claim nothing otherwise. */
+	static final boolean CLAIMS = false;
+
 	private static final double MAX_CLOCK_DEVIATION = 0.02;
 
 	/** Time in which all links are established and all endpoints are known. */
 	private static final long START_MILLIS = 4_000;
 
+	/** Time after which the guards are old enough to know all claims. */
+	private static final long CLAIMS_KNOWN_MILLIS = 16_000;
+
+	/** One of this number of clusters takes up work while its guards are young. */
+	private static final int YOUNG_CLUSTERS = 4;
+
 	private final ModelClock clock = new ModelClock();
 
 	private final ModelTrace trace = new ModelTrace(this.clock);
@@ -75,7 +84,7 @@
 		this.entries.forEach(ModelEntry::start);
 		this.guards.forEach(ModelGuard::start);
 		this.guards.forEach(ModelGuard::report);
-		advance(START_MILLIS);
+		advance((CLAIMS && seed % YOUNG_CLUSTERS != 0) ? CLAIMS_KNOWN_MILLIS : START_MILLIS);
 	}
 
 	private void linkEntries(SplittableRandom linkRandom) {
--- a/core/src/test/java/io/coriandermux/core/model/FaultPlan.java
+++ b/core/src/test/java/io/coriandermux/core/model/FaultPlan.java
@@ -41,6 +41,9 @@
 
 	private static final int SLOTS = 3;
 
+	/** With claims, some clusters have more guards than keep the claims of a batch. */
+	private static final int GUARD_COUNTS = ClusterModel.CLAIMS ? 6 : 3;
+
 	private static final int MAX_KINDS = 4;
 
 	private static final int MAX_SCALE = 3;
@@ -56,7 +59,8 @@
 	private int lastBatch;
 
 	/**
-	 * Creates a cluster of two or three entries and two to four guards.
+	 * Creates a cluster of two or three entries and two to four guards, with claims to
+	 * seven.
 	 * @param seed seed of the cluster and of the faults
 	 * @param faults the kinds of faults; of more than four, some are drawn
 	 */
@@ -64,8 +68,8 @@
 		this.random = new SplittableRandom(seed);
 		this.faults = choose(faults);
 		this.scale = 1 + this.random.nextInt(MAX_SCALE);
-		this.model = new ClusterModel(this.random.nextLong(), 2 + this.random.nextInt(2), 2 + this.random.nextInt(3),
-				SLOTS);
+		this.model = new ClusterModel(this.random.nextLong(), 2 + this.random.nextInt(2),
+				2 + this.random.nextInt(GUARD_COUNTS), SLOTS);
 		if (this.faults.contains(ModelFault.UNREAD_REQUESTS)) {
 			this.model.callers().setWait(SHORT_WAIT_MILLIS, () -> this.random.nextLong(MAX_DISCONNECT_DELAY_MILLIS));
 		}
--- a/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
@@ -19,10 +20,12 @@
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.RouteName;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.ReleaseBatch;
 import io.coriandermux.core.message.StartRun;
 import io.coriandermux.core.message.StopRun;
+import io.coriandermux.core.message.TakeOverBatch;
 
 /**
  * An entry that runs the batch dispatcher.
@@ -76,6 +79,9 @@
 						(notice) -> log(notice.kind() + " " + notice.subject() + " : " + notice.detail())),
 				now());
 		this.dispatcher.applyRoutes(ROUTES);
+		if (ClusterModel.CLAIMS) {
+			this.dispatcher.onGuardsListed(Set.copyOf(this.links.keySet()), now());
+		}
 	}
 
 	@Override
@@ -149,6 +155,13 @@
 			else if (message instanceof StopRun stop) {
 				log("requests the stop of " + stop.run() + " at " + guard);
 			}
+			else if (message instanceof ClaimBatch claim) {
+				log("claims " + claim.batch().value() + " at " + guard
+						+ claim.replaced().map((holder) -> " in place of " + holder).orElse(""));
+			}
+			else if (message instanceof TakeOverBatch takeOver) {
+				log("takes over " + takeOver.batch().value() + " at " + guard + " with number " + takeOver.number());
+			}
 			this.links.get(guard).accept(message);
 		});
 	}
--- a/core/src/test/java/io/coriandermux/core/model/ModelGuard.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelGuard.java
@@ -16,9 +16,11 @@
 import io.coriandermux.core.lease.LeaseSettings;
 import io.coriandermux.core.lease.LeaseTerms;
 import io.coriandermux.core.lease.Poll;
+import io.coriandermux.core.message.ClaimAnswer;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.RunEnded;
 import io.coriandermux.core.message.StopRun;
+import io.coriandermux.core.message.TakeOverAnswer;
 import io.coriandermux.core.run.RunId;
 
 /**
@@ -146,6 +148,14 @@
 				log("reports " + ended.run() + " " + ended.outcome() + " to " + entry);
 				this.checker.onReportedEnded(this.endpoint, ended.run());
 			}
+			else if (message instanceof ClaimAnswer answer) {
+				log("answers the claim of " + answer.batch().value() + " by " + entry + " : complete "
+						+ answer.complete() + ", holder " + answer.holder());
+			}
+			else if (message instanceof TakeOverAnswer answer) {
+				log("answers the take-over " + answer.number() + " of " + answer.batch().value() + " by " + entry
+						+ " : granted " + answer.granted());
+			}
 			this.links.get(entry).accept(message);
 		});
 	}
