--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -93,7 +93,7 @@
 
 	private final HandoverPeers handoverPeers = new HandoverPeers(this::onHandoverPeerConnected);
 
-	private final ClaimGuards claimGuards;
+	private final ClaimPeers claimPeers;
 
 	/**
 	 * Parses the documents that other entries send, because parsing would block the
@@ -134,7 +134,7 @@
 				settings.remoteFactor(),
 				new DispatchChannels(this::deliverAnswer, this::sendToGuard, this::sendToEntry, this.process::record),
 				time.now());
-		this.claimGuards = new ClaimGuards(this::sendClaim, this.process::onDropped,
+		this.claimPeers = new ClaimPeers(this::sendClaim, this.process::onDropped,
 				(guards) -> this.dispatcher.onGuardsListed(guards, this.process.now()));
 		this.process.start(() -> this.dispatcher.status(this.process.now()));
 		this.configWatch = new StoreWatch(store, config.key(), BatchIntervals.CONFIG_WATCH_TIMEOUT_MILLIS,
@@ -212,7 +212,7 @@
 	}
 
 	private void tick() {
-		this.claimGuards.tick(this.process.now().nanos());
+		this.claimPeers.tick(this.process.now().nanos());
 		this.dispatcher.tick(this.process.now());
 		this.exchange.tick(this.process.now().nanos());
 		DispatchStatus status = this.dispatcher.status(this.process.now());
@@ -255,7 +255,7 @@
 
 	private void updateLinks(Map<PeerName, Member> members) {
 		this.handoverPeers.onMembers(members.values());
-		this.claimGuards.onMembers(members.values());
+		this.claimPeers.onMembers(members.values());
 		members.forEach((name, member) -> {
 			// Of two entries, the one with the lower id opens the link, so that there
 			// is only one link between them.
@@ -281,7 +281,7 @@
 		this.context.log()
 			.record(LogEvent.LINK_UP, peer.name().toString(), "incarnation " + peer.incarnation().value());
 		if (peer.name().role() == PeerRole.GUARD) {
-			this.claimGuards.onConnected(peer, this.process.now().nanos());
+			this.claimPeers.onConnected(peer, this.process.now().nanos());
 			this.dispatcher.onGuardConnected(new GuardId(peer.name().id()), peer.incarnation());
 		}
 		else {
@@ -302,7 +302,7 @@
 	private void sendToGuard(GuardId guard, Message message) {
 		PeerName peer = new PeerName(PeerRole.GUARD, guard.value());
 		if (message instanceof ClaimBatch || message instanceof TakeOverBatch) {
-			this.claimGuards.send(peer, message);
+			this.claimPeers.send(peer, message);
 		}
 		else {
 			this.connectedPeers.send(peer, message);
@@ -320,7 +320,7 @@
 			.record(LogEvent.PEER_LOST, peer.name().toString(), "incarnation " + peer.incarnation().value());
 		if (peer.name().role() == PeerRole.GUARD) {
 			this.dispatcher.onGuardLost(new GuardId(peer.name().id()), peer.incarnation(), this.process.now());
-			this.claimGuards.onLost(peer);
+			this.claimPeers.onLost(peer);
 		}
 		else {
 			this.exchange.onEntryLost(peer.name());
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/ClaimGuards.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/ClaimPeers.java
@@ -25,7 +25,7 @@
  * batch from the list, so a guard stays listed while it restarts. Used by the decision
  * thread only.
  */
-final class ClaimGuards {
+final class ClaimPeers {
 
 	/** The first protocol with these messages. */
 	private static final int MIN_PROTOCOL = 3;
@@ -60,7 +60,7 @@
 	 * @param onDropped called for a message that a connected guard does not know
 	 * @param onListed receives the guards that know the messages after each change
 	 */
-	ClaimGuards(BiConsumer<PeerName, Message> links, BiConsumer<PeerName, Message> onDropped,
+	ClaimPeers(BiConsumer<PeerName, Message> links, BiConsumer<PeerName, Message> onDropped,
 			Consumer<Set<GuardId>> onListed) {
 		this.links = links;
 		this.onDropped = onDropped;
@@ -156,7 +156,7 @@
 		this.announced.keySet().removeIf((name) -> !this.stored.contains(name) && !this.connections.containsKey(name));
 		Set<GuardId> current = this.announced.values()
 			.stream()
-			.filter(ClaimGuards::knowsClaims)
+			.filter(ClaimPeers::knowsClaims)
 			.map((member) -> new GuardId(member.name().id()))
 			.collect(Collectors.toUnmodifiableSet());
 		if (!current.equals(this.listed)) {
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/ClaimGuardsTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/ClaimPeersTests.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
-import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.run.BatchId;
@@ -25,7 +23,7 @@
  * close the link during a rolling restart. Guards against entries that select different
  * guards for the same batch, too: neither would learn of the claim of the other.
  */
-class ClaimGuardsTests {
+class ClaimPeersTests {
 
 	private static final PeerName GUARD = new PeerName(PeerRole.GUARD, "g1");
 
@@ -35,9 +33,9 @@
 
 	private static final PeerIdentity NEXT = new PeerIdentity(GUARD, new Incarnation(6));
 
-	private static final Message CLAIM = new ClaimBatch(new BatchId("b1"), 1000, Optional.empty());
+	private static final Message CLAIM = new TakeOverBatch(new BatchId("b1"), 1, 1000);
 
-	private static final Message TAKE_OVER = new TakeOverBatch(new BatchId("b1"), 1, 1000);
+	private static final Message NEXT_CLAIM = new TakeOverBatch(new BatchId("b1"), 2, 1000);
 
 	private static final long WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -47,7 +45,7 @@
 
 	private final List<Set<GuardId>> lists = new ArrayList<>();
 
-	private final ClaimGuards guards = new ClaimGuards((guard, message) -> this.sent.add(message),
+	private final ClaimPeers guards = new ClaimPeers((guard, message) -> this.sent.add(message),
 			(guard, message) -> this.dropped.add(message), this.lists::add);
 
 	@Example
@@ -75,10 +73,10 @@
 		this.guards.onMembers(List.of(member(FORMER, 3)));
 		this.guards.onConnected(NEXT, 0);
 		this.guards.send(GUARD, CLAIM);
-		this.guards.send(GUARD, TAKE_OVER);
+		this.guards.send(GUARD, NEXT_CLAIM);
 		assertThat(this.sent).isEmpty();
 		this.guards.onMembers(List.of(member(NEXT, 3)));
-		assertThat(this.sent).containsExactly(CLAIM, TAKE_OVER);
+		assertThat(this.sent).containsExactly(CLAIM, NEXT_CLAIM);
 		assertThat(this.lists).containsExactly(Set.of(GUARD_ID));
 	}
 
@@ -88,9 +86,9 @@
 		this.guards.onConnected(FORMER, 0);
 		this.guards.send(GUARD, CLAIM);
 		this.guards.tick(10 * WAIT_NANOS);
-		this.guards.send(GUARD, TAKE_OVER);
+		this.guards.send(GUARD, NEXT_CLAIM);
 		assertThat(this.sent).isEmpty();
-		assertThat(this.dropped).containsExactly(CLAIM, TAKE_OVER);
+		assertThat(this.dropped).containsExactly(CLAIM, NEXT_CLAIM);
 		assertThat(this.lists).isEmpty();
 	}
 
@@ -115,8 +113,8 @@
 		assertThat(this.sent).isEmpty();
 		this.guards.onLost(FORMER);
 		this.guards.onConnected(NEXT, 1);
-		this.guards.send(GUARD, TAKE_OVER);
-		assertThat(this.sent).containsExactly(TAKE_OVER);
+		this.guards.send(GUARD, NEXT_CLAIM);
+		assertThat(this.sent).containsExactly(NEXT_CLAIM);
 	}
 
 	// Guards against a restarted guard that is never asked, because the store does not
