Cut entries off and restart them in the soak while callers come back

CUT_HALF_OPEN silences the links between entries for 2 to 6 s and resets callers on their side. RESTART_HALF_OPEN restarts an entry while the callers of another one, which left unnoticed, come back.

--- a/soak/src/test/java/io/coriandermux/soak/Cluster.java
+++ b/soak/src/test/java/io/coriandermux/soak/Cluster.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -59,8 +60,8 @@
 
 	private final StoreStandIn store = new StoreStandIn(this::withProxyPorts);
 
-	/** Port of the proxy by the port that the process behind it announces. */
-	private final Map<Integer, Integer> proxyPorts = new LinkedHashMap<>();
+	/** The proxies by the port that the process behind them announces. */
+	private final Map<Integer, FaultProxy> peerProxies = new LinkedHashMap<>();
 
 	/** Ports of processes that do not listen yet, which the probe finds free. */
 	private final Set<Integer> usedPorts = new HashSet<>();
@@ -70,6 +71,9 @@
 	/** The links between processes and to the store, which leave the VM of a process. */
 	private final List<FaultProxy> remoteLinks = new ArrayList<>();
 
+	/** The links between entries, by the entry that accepts them. */
+	private final List<FaultProxy> entryLinks = new ArrayList<>();
+
 	private final List<SystemProcess> entries = new ArrayList<>();
 
 	private final List<Integer> callerPorts = new ArrayList<>();
@@ -118,6 +122,10 @@
 		return this.remoteLinks;
 	}
 
+	List<FaultProxy> entryLinks() {
+		return this.entryLinks;
+	}
+
 	List<SystemProcess> entries() {
 		return this.entries;
 	}
@@ -155,6 +163,11 @@
 		int readyPort = freePort();
 		String settings = settingsJson(name, peerPort, operatorsPort, "\"callers\":\"127.0.0.1:" + callersPort
 				+ "\",\"ready\":\"127.0.0.1:" + readyPort + "\",\"remoteFactor\":1.5");
+		// Guards open no links, and of two entries the one with the lower id opens it, so
+		// only entries connect to the port of an entry, and none to that of the first.
+		if (!this.entries.isEmpty()) {
+			Optional.ofNullable(this.peerProxies.get(peerPort)).ifPresent(this.entryLinks::add);
+		}
 		this.entries.add(createProcess(name, "entry", "", operatorsPort, settings));
 		this.callerPorts.add(callersPort);
 		this.callerPaths.add(new FaultProxy(this.callerProxies, callersPort));
@@ -176,7 +189,7 @@
 	private String settingsJson(String name, int peerPort, int operatorsPort, String rest) throws IOException {
 		if (isNextProxied()) {
 			FaultProxy peerProxy = addProxy(peerPort);
-			this.proxyPorts.put(peerPort, peerProxy.port());
+			this.peerProxies.put(peerPort, peerProxy);
 			this.remoteLinks.add(peerProxy);
 		}
 		FaultProxy storeProxy = addProxy(this.store.port());
@@ -205,9 +218,10 @@
 	}
 
 	private String withProxyPorts(String announcement) {
-		return PORT_FIELD.matcher(announcement)
-			.replaceAll((field) -> "\"port\":"
-					+ this.proxyPorts.getOrDefault(Integer.valueOf(field.group(1)), Integer.valueOf(field.group(1))));
+		return PORT_FIELD.matcher(announcement).replaceAll((field) -> {
+			FaultProxy proxy = this.peerProxies.get(Integer.valueOf(field.group(1)));
+			return "\"port\":" + ((proxy != null) ? proxy.port() : field.group(1));
+		});
 	}
 
 	private int freePort() {
--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -96,6 +96,18 @@
 		/** An entry or a guard is paused, and its connections are reset meanwhile. */
 		FREEZE_RESET,
 
+		/**
+		 * Links between entries deliver nothing for 2 s to 6 s, and the callers of an
+		 * entry give up unnoticed meanwhile.
+		 */
+		CUT_HALF_OPEN,
+
+		/**
+		 * An entry is killed and restarted while the callers of another one, who have
+		 * given up unnoticed, come back.
+		 */
+		RESTART_HALF_OPEN,
+
 		/**
 		 * The callers of an entry give up unnoticed, and the entry is paused until they
 		 * have come back to other entries.
@@ -114,7 +126,8 @@
 
 		/** Whether the fault needs callers that connect through the balancer. */
 		boolean needsBalancer() {
-			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN;
+			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN
+					|| this == CUT_HALF_OPEN || this == RESTART_HALF_OPEN;
 		}
 
 		boolean isPlanned() {
--- a/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
@@ -46,6 +46,8 @@
 	void knowsWhichFaultsNeedTheBalancer() {
 		assertThat(new FaultRange("site").needsBalancer()).isTrue();
 		assertThat(new FaultRange("RESET_ALL,HALF_OPEN_CALLERS").needsBalancer()).isTrue();
+		assertThat(new FaultRange("CUT_HALF_OPEN").needsBalancer()).isTrue();
+		assertThat(new FaultRange("RESTART_HALF_OPEN").needsBalancer()).isTrue();
 		assertThat(new FaultRange("RESET_ALL,RESTART_SOON").needsBalancer()).isFalse();
 		assertThat(new FaultRange("widespread").needsBalancer()).isFalse();
 		assertThat(FaultRange.SINGLE.needsBalancer()).isFalse();
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -1,7 +1,11 @@
 package io.coriandermux.soak;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
@@ -35,6 +39,17 @@
 
 	private static final int HALF_OPEN_MILLIS = 3_000;
 
+	/**
+	 * An entry forgets the batches of another one 1.2 s after its last message, and
+	 * callers come back after 1.3 s.
+	 */
+	private static final int MIN_CUT_MILLIS = 2_000;
+
+	private static final int CUT_RANGE_MILLIS = 4_000;
+
+	/** A restart that begins in this time is over when the callers come back. */
+	private static final int RESTART_START_RANGE_MILLIS = 600;
+
 	private static final int MIN_IMPAIRMENT_MILLIS = 300;
 
 	private static final int IMPAIRMENT_RANGE_MILLIS = 2_700;
@@ -50,6 +65,9 @@
 
 	private final Consumer<String> trace;
 
+	/** Number of faults that cut a link between entries at present. */
+	private final Map<FaultProxy, Integer> cuts = new LinkedHashMap<>();
+
 	private final LongConsumer disturbance;
 
 	/**
@@ -82,6 +100,8 @@
 					impairPaths(mode, (mode == FaultProxy.Mode.LATE_CLOSE) ? FaultProxy.ResetSide.CLIENT
 							: FaultProxy.ResetSide.NONE, choice);
 				}
+				case CUT_HALF_OPEN -> cutHalfOpen(choice);
+				case RESTART_HALF_OPEN -> restartHalfOpen(choice);
 				case PAUSE_LONG -> pause(drawEntry(choice), drawPauseMillis(choice));
 				case FREEZE_RESET -> freeze(choice);
 				case PAUSE_HALF_OPEN -> pauseHalfOpen(choice);
@@ -138,10 +158,48 @@
 		endAfter(millis, () -> paths.forEach((path) -> path.release(seed + path.port())));
 	}
 
+	private void cutHalfOpen(Random choice) throws InterruptedException {
+		List<FaultProxy> links = new ArrayList<>(this.cluster.entryLinks());
+		if (links.size() > 1 && choice.nextBoolean()) {
+			Collections.shuffle(links, choice);
+			links.subList(1, links.size()).clear();
+		}
+		long millis = MIN_CUT_MILLIS + choice.nextInt(CUT_RANGE_MILLIS);
+		this.disturbance.accept(millis);
+		this.trace.accept("cut the links to " + links.size() + " entries for " + millis + " ms");
+		links.forEach(this::cut);
+		endAfter(millis, () -> links.forEach(this::endCut));
+		sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
+		leaveHalfOpen(choice.nextInt(this.cluster.entries().size()), choice);
+	}
+
+	private synchronized void cut(FaultProxy link) {
+		this.cuts.merge(link, 1, Integer::sum);
+		link.setMode(FaultProxy.Mode.SILENT);
+	}
+
+	private synchronized void endCut(FaultProxy link) {
+		if (this.cuts.merge(link, -1, Integer::sum) == 0) {
+			link.setMode(FaultProxy.Mode.PASS);
+		}
+	}
+
+	private void restartHalfOpen(Random choice) throws InterruptedException {
+		int count = this.cluster.entries().size();
+		int left = choice.nextInt(count);
+		leaveHalfOpen(left, choice);
+		sleep(choice.nextInt(RESTART_START_RANGE_MILLIS));
+		restart(this.cluster.entries().get((left + 1 + choice.nextInt(Math.max(1, count - 1))) % count), choice);
+	}
+
+	private void leaveHalfOpen(int entry, Random choice) {
+		impair(List.of(this.cluster.balancer().path(entry)), FaultProxy.Mode.HOLD, FaultProxy.ResetSide.CLIENT,
+				HALF_OPEN_MILLIS, choice);
+	}
+
 	private void pauseHalfOpen(Random choice) throws IOException, InterruptedException {
 		int number = choice.nextInt(this.cluster.entries().size());
-		impair(List.of(this.cluster.balancer().path(number)), FaultProxy.Mode.HOLD, FaultProxy.ResetSide.CLIENT,
-				HALF_OPEN_MILLIS, choice);
+		leaveHalfOpen(number, choice);
 		pause(this.cluster.entries().get(number),
 				MIN_HALF_OPEN_PAUSE_MILLIS + choice.nextInt(HALF_OPEN_PAUSE_RANGE_MILLIS));
 	}
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -362,6 +362,7 @@
 				case RESET_ALL -> resetAll(new Random(fault.target()));
 				case KILL_ENTRIES -> killAll(this.cluster.entries(), fault);
 				case KILL_ALL -> killAll(this.cluster.processes(), fault);
+				case CUT_HALF_OPEN, RESTART_HALF_OPEN -> this.siteFaults.inject(fault);
 				case PAUSE_MANY -> pauseMany(new Random(fault.target()));
 				case LATE_ORDERS_MANY -> delayOrders(new Random(fault.target()), fault);
 				case STORE -> impairStore(fault);
