Take only a poll's answer as proof of a new incarnation of an endpoint

The protocol says that heartbeats may come from another writer.

- A heartbeat with an equal start and another id is ignored.
- A heartbeat of a later start is followed by a poll that names no incarnation, grants nothing and acknowledges no end.
Runs are reported as lost once an answer carries a later start; if the known incarnation answers, the heartbeat is dropped.
- A first or restored report counts as unconfirmed until its incarnation has answered a poll that was addressed to it. 421 discards it, and an answer with another start replaces it, so a wrong first heartbeat does not shut out the endpoint.
The guard announces confirmed reports only.
- A deregistration names an id, which may have come again.
If the report does not drain, a poll is sent, and its answer cancels the mark.

Three tests took a heartbeat for the proof of a new incarnation. They now expect that nothing is reported before the answer of that incarnation, and what they expected before after it. Two tests answer a second poll, because the first one was sent before the incarnation was known.

--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -76,14 +76,32 @@
 	/** The incarnation that orders are addressed to; null while none is known. */
 	private EndpointIncarnation endpointIncarnation;
 
+	/** Whether that incarnation has answered a poll that was addressed to it. */
+	private boolean confirmed;
+
+	/** Number of the first poll that was sent to that incarnation. */
+	private long firstPoll;
+
 	/** The last report of that incarnation; null until it has reported. */
 	private EndpointReport report;
 
+	/**
+	 * The report of a later incarnation that has not answered a poll yet; null if there
+	 * is none.
+	 */
+	private EndpointReport announcement;
+
+	/** Number of the first poll that was sent to find out about the announcement. */
+	private long announcementPoll;
+
 	/** Whether all runs of previous guards at the endpoint are known to have ended. */
 	private boolean settled;
 
 	private boolean deregistered;
 
+	/** Number of the first poll that was sent after the deregistration. */
+	private long deregistrationPoll;
+
 	/** Whether no connection to the endpoint could be opened; cleared when it answers. */
 	private boolean unreachable;
 
@@ -122,7 +140,8 @@
 	}
 
 	/**
-	 * Processes a heartbeat of the endpoint.
+	 * Processes a heartbeat. It may come from another writer, so a heartbeat of a later
+	 * incarnation alone does not prove that the known one and its runs have ended.
 	 * @param heartbeat the contents of the heartbeat
 	 * @param now the current time
 	 */
@@ -134,6 +153,10 @@
 							+ this.endpointIncarnation);
 			return;
 		}
+		if (this.confirmed && !heartbeat.incarnation().equals(this.endpointIncarnation)) {
+			onIncarnationAnnounced(heartbeat, now);
+			return;
+		}
 		EndpointReport previous = this.report;
 		boolean wasDeregistered = this.deregistered;
 		this.deregistered = false;
@@ -175,15 +198,63 @@
 		return Optional.ofNullable(this.report);
 	}
 
+	/**
+	 * Returns the last report of the endpoint if it is certain to be one.
+	 * @return the report, empty if the incarnation that it names has not answered
+	 */
+	public Optional<EndpointReport> confirmedReport() {
+		return lastReport().filter((last) -> this.confirmed);
+	}
+
 	private boolean isStale(EndpointReport heartbeat) {
 		if (this.endpointIncarnation == null) {
 			return false;
 		}
-		if (heartbeat.incarnation().startedAtMillis() != this.endpointIncarnation.startedAtMillis()) {
-			return heartbeat.incarnation().startedAtMillis() < this.endpointIncarnation.startedAtMillis();
+		if (heartbeat.incarnation().equals(this.endpointIncarnation)) {
+			return this.report != null && heartbeat.sequence() < this.report.sequence();
+		}
+		return heartbeat.incarnation().startedAtMillis() <= this.endpointIncarnation.startedAtMillis();
+	}
+
+	private void onIncarnationAnnounced(EndpointReport heartbeat, Moment now) {
+		boolean first = this.announcement == null;
+		this.announcement = heartbeat;
+		if (first) {
+			// If the later incarnation exists, it has seen no token.
+			this.token.shutOut(this.token.value(), this.nowNanos);
+			this.announcementPoll = this.polls.nextNumber();
+			poll(now, 0, true);
+		}
+	}
+
+	private void onOtherStartAnswered(long startedAtMillis, Moment now) {
+		// Without a report of its own, the new incarnation may have another pool or
+		// capacity, so it receives no runs until it reports.
+		this.report = Optional.ofNullable(this.announcement)
+			.filter((announced) -> announced.incarnation().startedAtMillis() == startedAtMillis)
+			.orElse(null);
+		startIncarnation((this.report != null) ? this.report.incarnation()
+				: new EndpointIncarnation(this.endpointIncarnation.id(), startedAtMillis), now);
+		sendLoads(true, now);
+	}
+
+	private void onKnownIncarnationAnswered(Poll poll, Moment now) {
+		this.confirmed = true;
+		if (this.announcement != null && poll.number() >= this.announcementPoll) {
+			sendNotice(NoticeKind.ENDPOINT_REPORT_IGNORED, this.announcement.incarnation().toString(),
+					"incarnation " + this.endpointIncarnation + " has answered since");
+			this.announcement = null;
+		}
+		// A deregistration names an id, which a former incarnation or another writer may
+		// have sent as well. An endpoint drains before it deregisters.
+		if (this.deregistered && poll.number() >= this.deregistrationPoll && !isDraining()) {
+			this.deregistered = false;
+			sendLoads(true, now);
 		}
-		return this.report != null && heartbeat.incarnation().equals(this.endpointIncarnation)
-				&& heartbeat.sequence() < this.report.sequence();
+	}
+
+	private boolean isDraining() {
+		return this.report != null && this.report.draining();
 	}
 
 	/**
@@ -196,7 +267,11 @@
 		if (this.endpointIncarnation != null && this.endpointIncarnation.id().equals(endpointId)) {
 			sendNotice(NoticeKind.ENDPOINT_LEFT, this.endpointIncarnation.toString(), this.runs.size() + " runs");
 			this.deregistered = true;
+			this.deregistrationPoll = this.polls.nextNumber();
 			sendLoads(true, now);
+			if (!isDraining()) {
+				poll(now, 0, true);
+			}
 		}
 	}
 
@@ -321,10 +396,12 @@
 		else if (result == OrderResult.UNANSWERED) {
 			this.token.shutOut(this.polls.tokenOf(poll), this.nowNanos);
 		}
-		if (result == OrderResult.OTHER_LIFE && !this.settled) {
-			// The restored incarnation has ended. The next heartbeat identifies
-			// the new one.
+		if (result == OrderResult.OTHER_LIFE && !this.settled && poll.number() >= this.firstPoll) {
+			// The next heartbeat identifies the incarnation that has answered.
 			this.report = null;
+			if (!this.confirmed) {
+				this.endpointIncarnation = null;
+			}
 			return;
 		}
 		if (answer.isEmpty() || this.endpointIncarnation == null) {
@@ -332,14 +409,18 @@
 		}
 		long startedAtMillis = answer.get().startedAtMillis();
 		if (startedAtMillis != this.endpointIncarnation.startedAtMillis()) {
-			if (startedAtMillis > this.endpointIncarnation.startedAtMillis()) {
-				// The new incarnation may have another pool or capacity, so it receives
-				// no runs until it reports.
-				this.report = null;
-				startIncarnation(new EndpointIncarnation(this.endpointIncarnation.id(), startedAtMillis), now);
+			// The start of a restored or first report may be wrong.
+			if (startedAtMillis > this.endpointIncarnation.startedAtMillis()
+					|| (!this.confirmed && poll.number() >= this.firstPoll)) {
+				onOtherStartAnswered(startedAtMillis, now);
 			}
 			return;
 		}
+		if (poll.number() < this.firstPoll) {
+			// It was addressed to another incarnation or to none.
+			return;
+		}
+		onKnownIncarnationAnswered(poll, now);
 		this.clock.recordReading(answer.get().clockMillis(), now.nanos());
 		this.polls.onEndsAcknowledged(poll);
 		if (this.unreachable) {
@@ -562,6 +643,10 @@
 			this.token.shutOut(this.token.value(), this.nowNanos);
 		}
 		this.endpointIncarnation = newIncarnation;
+		this.confirmed = false;
+		this.firstPoll = this.polls.nextNumber();
+		this.announcement = null;
+		this.deregistered = false;
 		sendNotice(NoticeKind.ENDPOINT_BEGAN, newIncarnation.toString(),
 				((this.report != null) ? "capacity " + this.report.capacity() : "not reported yet") + ", "
 						+ this.runs.size() + " runs of the previous incarnation");
@@ -574,7 +659,13 @@
 	}
 
 	private boolean needsPoll() {
-		if (this.endpointIncarnation == null || (this.deregistered && this.runs.isEmpty())) {
+		if (this.endpointIncarnation == null) {
+			return false;
+		}
+		if (this.announcement != null) {
+			return true;
+		}
+		if (this.deregistered && this.runs.isEmpty()) {
 			return false;
 		}
 		return !this.runs.isEmpty() || !this.settled || this.unreachable || this.polls.hasUnacknowledgedEnds()
@@ -587,6 +678,12 @@
 		if (this.endpointIncarnation == null || (!concurrent && this.polls.isPollPending())) {
 			return;
 		}
+		if (this.announcement != null) {
+			// Whichever incarnation is there answers, and is granted nothing.
+			this.orders.poll(new LeaseTerms("", this.token.value(), OptionalLong.empty()),
+					this.polls.nextPollOfAnyIncarnation(this.token.value(), now.nanos()));
+			return;
+		}
 		// An endpoint that does not answer may still receive the polls. If they renewed
 		// its lease, its runs could never be reported as ended.
 		boolean silent = now.nanos() - this.clock
--- a/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
+++ b/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
@@ -40,6 +40,17 @@
 		return new Poll(this.lastSent, this.highestReceivedEnd, waitMillis);
 	}
 
+	/**
+	 * Returns the next poll that any incarnation may answer. It acknowledges no ends,
+	 * because the numbers of the ends restart with each incarnation.
+	 * @param token fencing token of the poll
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return the poll
+	 */
+	Poll nextPollOfAnyIncarnation(long token, long nowNanos) {
+		return new Poll(nextPoll(0, token, nowNanos).number(), 0, 0);
+	}
+
 	long lastToken() {
 		return this.lastToken;
 	}
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
@@ -251,6 +251,8 @@
 		harness.answerPoll(List.of(new ActiveRun(RUN, 1)), List.of());
 		harness.startRunning(OTHER_RUN);
 		harness.sendHeartbeat(new EndpointIncarnation("i-1", 2000), false);
+		assertThat(harness.outcomes(RUN)).isEmpty();
+		harness.answerPoll(2000, List.of(), List.of());
 		assertThat(harness.outcomes(RUN)).containsExactly(RunOutcome.ENDPOINT_LOST);
 		// No poll has listed this run, so the new incarnation may have started it.
 		assertThat(harness.outcomes(OTHER_RUN)).isEmpty();
@@ -262,6 +264,7 @@
 	void ignoresADelayedHeartbeatOfThePreviousEndpointIncarnation() {
 		LeaseManagerHarness harness = LeaseManagerHarness.settled();
 		harness.sendHeartbeat(new EndpointIncarnation("i-1", 2000), false);
+		harness.answerPoll(2000, List.of(), List.of());
 		harness.sendHeartbeat(LeaseManagerHarness.ENDPOINT_INCARNATION, false);
 		assertThat(harness.leaseManager.status().endpoint()).isEqualTo("i-1@2000");
 	}
@@ -427,6 +430,7 @@
 		LeaseManagerHarness harness = LeaseManagerHarness.settled();
 		harness.requestStart(OTHER_RUN);
 		harness.sendHeartbeat(new EndpointIncarnation("i-1", 2000), false);
+		harness.answerPoll(2000, List.of(), List.of());
 		harness.answerPoll(2000, List.of(), List.of(new EndedRun(1, OTHER_RUN, RunOutcome.STOPPED)));
 		harness.leaseManager.onStartAnswered(OTHER_RUN, OrderResult.ACCEPTED,
 				OptionalLong.of(harness.endpointClockMillis() + 3_600_000), harness.now());
--- a/core/src/test/java/io/coriandermux/core/lease/OutlivedPermissionTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/OutlivedPermissionTests.java
@@ -91,6 +91,7 @@
 		this.harness.sendHeartbeat(new EndpointIncarnation("i-1", 2000), false);
 		assertThat(this.harness.outcomes(RUN)).isEmpty();
 		this.harness.answerPoll(2000, List.of(), List.of());
+		this.harness.answerPoll(2000, List.of(), List.of());
 		assertThat(this.harness.outcomes(RUN)).isEmpty();
 		this.harness.leaseManager.onStopAnswered(RUN, OrderResult.ACCEPTED, OptionalLong.of(0), this.harness.now());
 		this.harness.answerPoll(2000, List.of(), List.of());
@@ -114,6 +115,7 @@
 		this.harness.requestStart(RUN);
 		this.harness.sendHeartbeat(new EndpointIncarnation("i-1", 2000), false);
 		this.harness.answerPoll(2000, List.of(), List.of());
+		this.harness.answerPoll(2000, List.of(), List.of());
 		this.harness.leaseManager.onStartAnswered(RUN, OrderResult.ACCEPTED, OptionalLong.of(3_600_000),
 				this.harness.now());
 		this.harness.requestStart(OTHER_RUN);
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
@@ -1,5 +1,7 @@
 package io.coriandermux.core.model;
 
+import io.coriandermux.core.lease.EndpointIncarnation;
+import io.coriandermux.core.lease.EndpointReport;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.RunId;
 import net.jqwik.api.Example;
@@ -219,6 +221,26 @@
 		assertNoTaskRanTwice(this.model);
 	}
 
+	// Heartbeats of another writer name another id or a later start, and the guard
+	// reports the runs of its endpoint as lost.
+	@Example
+	void aRunContinuesAlthoughAHeartbeatNamesAnotherIncarnationOfItsEndpoint() {
+		for (int laterMillis = 0; laterMillis <= 1; laterMillis++) {
+			for (String suffix : new String[] { "", "-other" }) {
+				ClusterModel cluster = ClusterModel.small();
+				ModelGuard holder = startJob(cluster, 3_000);
+				EndpointReport report = holder.endpoint().report();
+				EndpointIncarnation other = new EndpointIncarnation(report.incarnation().id() + suffix,
+						report.incarnation().startedAtMillis() + laterMillis);
+				holder.receive(new EndpointReport(other, report.sequence(), report.pool(), report.labels(),
+						report.capacity(), false));
+				cluster.advance(1_000);
+				assertNoTaskRanTwice(cluster);
+				assertThat(cluster.holder(JOB)).contains(holder);
+			}
+		}
+	}
+
 	// A late order reaches the next incarnation of the endpoint, which knows neither the
 	// stop of the run nor a fencing token, and whose clock has started again.
 	@Example
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
@@ -88,13 +88,19 @@
 		ReportLimits.check(report, this.process.now().epochMillis());
 		return this.process.loop().offer(() -> {
 			this.leaseManager.onHeartbeat(report, this.process.now());
-			if (!report.incarnation().equals(this.announcedIncarnation)) {
-				// The next incarnation of this process restores the report at its start,
-				// without waiting for a heartbeat.
+			announceReport();
+		});
+	}
+
+	// The next incarnation of this process restores the report at its start, without
+	// waiting for a heartbeat.
+	private void announceReport() {
+		this.leaseManager.confirmedReport()
+			.filter((report) -> !report.incarnation().equals(this.announcedIncarnation))
+			.ifPresent((report) -> {
 				this.announcedIncarnation = report.incarnation();
 				this.process.announce(report);
-			}
-		});
+			});
 	}
 
 	/**
@@ -200,8 +206,11 @@
 
 		@Override
 		public void onPollAnswered(Poll poll, OrderResult result, Optional<PollAnswer> answer) {
-			put(() -> BatchGuardShell.this.leaseManager.onPollAnswered(poll, result, answer,
-					BatchGuardShell.this.process.now()));
+			put(() -> {
+				BatchGuardShell.this.leaseManager.onPollAnswered(poll, result, answer,
+						BatchGuardShell.this.process.now());
+				announceReport();
+			});
 		}
 
 		private void put(Runnable work) {
