Keep the ends and stops of runs per entry

Each entry numbers the runs of a batch from 1, so two entries that have the same batch name different runs by the same id. A guard kept the ends of runs, and the questions about them, by that id alone. It reported a refusal (NO_ROOM, NOT_STARTED) of one entry's run 1 to another entry as the end of its own run 1, stopped a run at the request of an entry that had given the batch up, answered only the last of two entries that asked before it had settled, and sent the end of a run of a former incarnation to the next one.

Ends and questions are now kept per entry, incarnation and run. A StopRun or HeldRuns of an entry concerns only its own runs; about any other it is told that its run was not started, and that is recorded for it, so a later order for it starts nothing. A run keeps the entry that has requested it: a start order of another entry for the same id is refused with CLAIMED instead of passing the run on, because the first entry could no longer rely on its stop, and the second one was told the end of a run that it had not started. The endpoint knows runs by their ids alone, so an id that was ordered there once is refused to other entries with SUPERSEDED, as the endpoint itself does: a late answer or a late end of the first run would count for the second.

--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -1,9 +1,7 @@
 package io.coriandermux.core.lease;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
-
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.core.run.RunOutcome;
@@ -32,6 +30,9 @@
 
 	final RunId run;
 
+	/** The entry that has requested the run. */
+	final EntryIncarnation owner;
+
 	final ResourceAmounts needs;
 
 	final long requestedNanos;
@@ -39,10 +40,6 @@
 	/** Fencing token of the start order. */
 	final long startToken;
 
-	private final Set<EntryId> previousEntries = new LinkedHashSet<>();
-
-	private EntryId entry;
-
 	private long order;
 
 	private State state = State.START_PENDING;
@@ -79,32 +76,19 @@
 
 	private EndProof endProof;
 
-	HeldRun(RunId run, EntryId entry, long order, ResourceAmounts needs, long startToken, long nowNanos) {
+	HeldRun(RunId run, EntryIncarnation owner, long order, ResourceAmounts needs, long startToken, long nowNanos) {
 		this.order = order;
 		this.startToken = startToken;
 		this.run = run;
-		this.entry = entry;
+		this.owner = owner;
 		this.needs = needs;
 		this.requestedNanos = nowNanos;
 		this.lastOrderNanos = nowNanos;
 		this.progressNanos = nowNanos;
 	}
 
-	/**
-	 * Returns the entry that has requested the run most recently.
-	 * @return the entry
-	 */
 	EntryId entry() {
-		return this.entry;
-	}
-
-	/**
-	 * Returns the entries that requested the run earlier. Its end is reported to them,
-	 * too.
-	 * @return the entries
-	 */
-	Set<EntryId> previousEntries() {
-		return this.previousEntries;
+		return this.owner.entry();
 	}
 
 	/**
@@ -115,11 +99,8 @@
 		return this.order;
 	}
 
-	void reassign(EntryId next, long nextOrder) {
-		this.order = nextOrder;
-		this.previousEntries.add(this.entry);
-		this.previousEntries.remove(next);
-		this.entry = next;
+	void setOrder(long number) {
+		this.order = number;
 	}
 
 	State state() {
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
 import io.coriandermux.core.message.EndpointChanged;
@@ -115,7 +116,7 @@
 		this.sessions = new EntrySessions(settings, entries);
 		this.suspensionDetector = new SuspensionDetector(settings.callMillis());
 		this.runNotices = new RunNotices(settings, this.sessions, this.clock, notices);
-		this.runEndReporter = new RunEndReporter(entries, this.runNotices);
+		this.runEndReporter = new RunEndReporter(entries, this.sessions, this.runNotices);
 		this.runs = new RunTable(settings, orders, () -> terms(OptionalLong.empty()), this.polls, this::onRunEnded,
 				this.runNotices);
 		this.leases = new LeaseGranter(settings, this.clock, this.runs, this.sessions);
@@ -404,73 +405,83 @@
 		}
 		checkForSuspension(now);
 		expireSessions(now);
+		EntryIncarnation sender = new EntryIncarnation(entry, incarnation);
 		if (message instanceof StartRun start) {
-			start(entry, session.get(), start, now);
+			start(sender, session.get(), start, now);
 		}
 		else if (message instanceof StopRun stop) {
-			this.runs.find(stop.run())
+			this.runs.find(sender, stop.run())
 				.ifPresentOrElse((held) -> this.runs.stop(held, RunOutcome.STOPPED, StopCause.REQUESTED, now.nanos()),
-						() -> this.runEndReporter.reportInactive(entry, stop.run(), this.settled));
+						() -> this.runEndReporter.reportInactive(sender, stop.run(), this.settled));
 		}
 		else if (message instanceof HeldRuns held) {
-			reconcile(entry, held.runs(), now);
+			reconcile(sender, held.runs(), now);
 		}
 		else if (message instanceof SessionPong pong) {
 			session.get().confirm(pong.clockNanos());
 		}
 	}
 
-	private void start(EntryId entry, EntrySession session, StartRun start, Moment now) {
+	private void start(EntryIncarnation sender, EntrySession session, StartRun start, Moment now) {
 		session.recordOrder(start.order());
 		session.setLoadSent(false);
-		Optional<HeldRun> held = this.runs.find(start.run());
+		Optional<HeldRun> held = this.runs.find(sender, start.run());
 		if (held.isPresent()) {
-			// The caller has resubmitted its batch to another entry.
-			this.runNotices.onReordered(start.run(), entry,
-					"held for " + held.get().entry() + " in state " + held.get().state());
-			held.get().reassign(entry, start.order());
+			this.runNotices.onReordered(start.run(), sender.entry(), "held in state " + held.get().state());
+			held.get().setOrder(start.order());
 			return;
 		}
-		if (this.runEndReporter.hasEnded(start.run())) {
-			this.runNotices.onReordered(start.run(), entry, "already ended");
-			this.runEndReporter.reportInactive(entry, start.run(), this.settled);
+		if (this.runEndReporter.hasEnded(sender, start.run())) {
+			this.runNotices.onReordered(start.run(), sender.entry(), "already ended");
+			this.runEndReporter.reportInactive(sender, start.run(), this.settled);
+			return;
+		}
+		Optional<HeldRun> heldForOther = this.runs.find(start.run());
+		if (heldForOther.isPresent()) {
+			this.runNotices.onReordered(start.run(), sender.entry(),
+					"held for " + heldForOther.get().entry() + " in state " + heldForOther.get().state());
+			refuse(sender, session, start.run(), RunOutcome.CLAIMED);
+			return;
+		}
+		if (this.runEndReporter.wasOrdered(start.run())) {
+			refuse(sender, session, start.run(), RunOutcome.SUPERSEDED);
 			return;
 		}
 		if (!isAccepting() || !session.isUsable() || !this.clock.isKnown()) {
-			refuse(entry, session, start.run(), RunOutcome.NOT_STARTED);
+			refuse(sender, session, start.run(), RunOutcome.NOT_STARTED);
 			return;
 		}
 		if (!free().fits(start.needs())) {
-			refuse(entry, session, start.run(), RunOutcome.NO_ROOM);
+			refuse(sender, session, start.run(), RunOutcome.NO_ROOM);
 			return;
 		}
 		OptionalLong until = this.leases.grantStart(session, now.nanos());
 		if (until.isEmpty()) {
-			refuse(entry, session, start.run(), RunOutcome.NOT_STARTED);
+			refuse(sender, session, start.run(), RunOutcome.NOT_STARTED);
 			return;
 		}
 		LeaseTerms lease = terms(until);
-		this.runNotices.onOrdered(entry, session, start, lease, now.nanos());
+		this.runNotices.onOrdered(sender.entry(), session, start, lease, now.nanos());
 		this.runNotices.onLeaseGranted(this.runs.list(), now.nanos());
-		this.runs.start(entry, start, lease, now.nanos());
+		this.runs.start(sender, start, lease, now.nanos());
 		this.sessions.markLoadChanged();
 	}
 
-	private void refuse(EntryId entry, EntrySession session, RunId run, RunOutcome reason) {
-		sendNotice(NoticeKind.RUN_REFUSED, run.toString(), reason + ", requested by " + entry + ", free " + free()
-				+ ", settled " + this.settled + ", session usable " + session.isUsable());
-		this.runEndReporter.reportEnd(entry, run, reason, 0);
-		sendLoad(entry, session);
+	private void refuse(EntryIncarnation sender, EntrySession session, RunId run, RunOutcome reason) {
+		sendNotice(NoticeKind.RUN_REFUSED, run.toString(), reason + ", requested by " + sender.entry() + ", free "
+				+ free() + ", settled " + this.settled + ", session usable " + session.isUsable());
+		this.runEndReporter.reportRefusal(sender, run, reason);
+		sendLoad(sender.entry(), session);
 	}
 
-	private void reconcile(EntryId entry, List<RunId> expected, Moment now) {
+	private void reconcile(EntryIncarnation sender, List<RunId> expected, Moment now) {
 		this.runs.list()
 			.stream()
-			.filter((held) -> held.entry().equals(entry) && !expected.contains(held.run))
+			.filter((held) -> held.owner.equals(sender) && !expected.contains(held.run))
 			.forEach((held) -> this.runs.stop(held, RunOutcome.STOPPED, StopCause.NOT_LISTED, now.nanos()));
 		expected.stream()
-			.filter((run) -> !this.runs.contains(run))
-			.forEach((run) -> this.runEndReporter.reportInactive(entry, run, this.settled));
+			.filter((run) -> !this.runs.contains(sender, run))
+			.forEach((run) -> this.runEndReporter.reportInactive(sender, run, this.settled));
 	}
 
 	/**
@@ -618,8 +629,7 @@
 
 	private void onRunEnded(HeldRun held, RunOutcome outcome) {
 		long runMillis = (this.nowNanos - held.requestedNanos) / NANOS_PER_MILLI;
-		this.runEndReporter.reportEnd(held.entry(), held.run, outcome, runMillis);
-		held.previousEntries().forEach((previous) -> this.runEndReporter.reportInactive(previous, held.run, true));
+		this.runEndReporter.reportEnd(held, outcome, runMillis);
 		if (outcome != RunOutcome.DONE) {
 			sendNotice(NoticeKind.RUN_NOT_DONE, held.run.toString(),
 					outcome + " after " + runMillis + " ms, requested by " + held.entry() + ", start "
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.message.StartRun;
 import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.core.run.RunId;
@@ -71,14 +72,18 @@
 		return this.runs.isEmpty();
 	}
 
-	boolean contains(RunId run) {
-		return this.runs.containsKey(run);
+	boolean contains(EntryIncarnation owner, RunId run) {
+		return find(owner, run).isPresent();
 	}
 
 	Optional<HeldRun> find(RunId run) {
 		return Optional.ofNullable(this.runs.get(run));
 	}
 
+	Optional<HeldRun> find(EntryIncarnation owner, RunId run) {
+		return find(run).filter((held) -> held.owner.equals(owner));
+	}
+
 	ResourceAmounts used() {
 		return this.used;
 	}
@@ -134,9 +139,9 @@
 		return new ArrayList<>(this.runs.values());
 	}
 
-	void start(EntryId entry, StartRun start, LeaseTerms lease, long nowNanos) {
+	void start(EntryIncarnation owner, StartRun start, LeaseTerms lease, long nowNanos) {
 		this.runs.put(start.run(),
-				new HeldRun(start.run(), entry, start.order(), start.needs(), lease.token(), nowNanos));
+				new HeldRun(start.run(), owner, start.order(), start.needs(), lease.token(), nowNanos));
 		this.used = this.used.plus(start.needs());
 		this.orders.start(lease, start.run(), start.spec());
 	}
--- a/core/src/test/java/io/coriandermux/core/model/RunChecker.java
+++ b/core/src/test/java/io/coriandermux/core/model/RunChecker.java
@@ -74,6 +74,12 @@
 		facts(endpoint, run).stopReceived = true;
 	}
 
+	/**
+	 * Records the report of an end to the entry that has ordered the run, or to any entry
+	 * if the guard has not ordered it.
+	 * @param endpoint the endpoint of the guard
+	 * @param run the run
+	 */
 	void onReportedEnded(ModelEndpoint endpoint, RunId run) {
 		facts(endpoint, run).reportedEnded = true;
 		if (endpoint.isActive(run)) {
