Hold single requests on their way in the soak

HOLD_REQUESTS holds 5% to 30% of the requests to an entry until 0 to 0.4 s after their callers have come back elsewhere, and delivers them as a whole; the end of the connection follows at once or 4 s later.

--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -100,7 +100,13 @@
 		 * The callers of an entry give up unnoticed, and the entry is paused until they
 		 * have come back to other entries.
 		 */
-		PAUSE_HALF_OPEN;
+		PAUSE_HALF_OPEN,
+
+		/**
+		 * Single requests are held until their callers have come back to other entries,
+		 * and then delivered to the first one.
+		 */
+		HOLD_REQUESTS;
 
 		/** Whether the fault affects many processes or endpoints at once. */
 		boolean isWidespread() {
@@ -112,9 +118,18 @@
 			return compareTo(PAUSE_MANY) > 0;
 		}
 
+		/**
+		 * Whether seeds of {@code site} draw the fault. It is played by name only, so
+		 * that the plans of earlier seeds stay as they are.
+		 */
+		boolean isDrawnOnSite() {
+			return this != HOLD_REQUESTS;
+		}
+
 		/** Whether the fault needs callers that connect through the balancer. */
 		boolean needsBalancer() {
-			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN;
+			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN
+					|| this == HOLD_REQUESTS;
 		}
 
 		boolean isPlanned() {
--- a/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
@@ -121,6 +121,11 @@
 
 	private Mode mode = Mode.PASS;
 
+	/** How requests are held, null if they are not. */
+	private RequestHold requestHold;
+
+	private Random requestChoice;
+
 	FaultProxy(ProxyLoop loop, int targetPort) throws IOException {
 		this.loop = loop;
 		this.targetPort = targetPort;
@@ -196,6 +201,24 @@
 		this.loop.execute(() -> List.copyOf(this.connections).forEach((connection) -> connection.release(seed)));
 	}
 
+	/**
+	 * Holds a part of the requests that clients send until {@link #stopHolding()}. Each
+	 * is delivered as a whole, and the target does not see that it was held.
+	 * @param hold how requests are held
+	 * @param seed selects the requests and their delays
+	 */
+	void holdRequests(RequestHold hold, long seed) {
+		this.loop.execute(() -> {
+			this.requestHold = hold;
+			this.requestChoice = new Random(seed);
+		});
+	}
+
+	/** Holds no further requests. Those that are held are delivered when they are due. */
+	void stopHolding() {
+		this.loop.execute(() -> this.requestHold = null);
+	}
+
 	void reset() {
 		reset(100, 0);
 	}
@@ -263,6 +286,11 @@
 
 		private long impairment;
 
+		/** When a held request is delivered, 0 if none was held. */
+		private long requestDueMillis;
+
+		private long endDelayMillis;
+
 		Connection(SocketChannel client, SocketChannel target) {
 			this.client = client;
 			this.target = target;
@@ -337,6 +365,9 @@
 				if (read < 0) {
 					end(direction, false);
 				}
+				else if (read > 0 && isNextHeld(direction)) {
+					hold(buffer.flip(), FaultProxy.this.requestHold);
+				}
 				else if (read > 0 && !drops && direction.to.isOpen()) {
 					direction.add(new Chunk(buffer.flip(), false, dueMillis(direction, DELAY_MILLIS, Mode.DELAY)));
 				}
@@ -346,6 +377,22 @@
 			}
 		}
 
+		// Callers send a request at once, so that one read returns all of it.
+		private boolean isNextHeld(Direction direction) {
+			return direction == this.forth && FaultProxy.this.requestHold != null
+					&& FaultProxy.this.requestChoice.nextInt(100) < FaultProxy.this.requestHold.percent();
+		}
+
+		private void hold(ByteBuffer request, RequestHold hold) {
+			this.requestDueMillis = ProxyLoop.nowMillis() + hold.minMillis()
+					+ FaultProxy.this.requestChoice.nextInt(hold.rangeMillis());
+			this.endDelayMillis = hold.endDelayMillis();
+			this.forth.add(new Chunk(request, false, this.requestDueMillis));
+			if (hold.resetMillis() >= 0) {
+				FaultProxy.this.loop.executeAfter(hold.resetMillis(), () -> resetSide(ResetSide.CLIENT));
+			}
+		}
+
 		private long dueMillis(Direction direction, long delayMillis, Mode delayingMode) {
 			if (holds(direction)) {
 				return HELD;
@@ -360,7 +407,11 @@
 				reset();
 				return;
 			}
-			direction.add(new Chunk(null, byReset, dueMillis(direction, this.closeDelayMillis, Mode.LATE_CLOSE)));
+			long dueMillis = dueMillis(direction, this.closeDelayMillis, Mode.LATE_CLOSE);
+			if (direction == this.forth && this.requestDueMillis > 0) {
+				dueMillis = Math.max(dueMillis, this.requestDueMillis + this.endDelayMillis);
+			}
+			direction.add(new Chunk(null, byReset, dueMillis));
 		}
 
 		private void flush(Direction direction) {
@@ -429,9 +480,12 @@
 			this.ownMode = next;
 			this.impairment = seed;
 			this.closeDelayMillis = delayMillis;
-			if (side == ResetSide.NONE) {
-				return;
+			if (side != ResetSide.NONE) {
+				resetSide(side);
 			}
+		}
+
+		private void resetSide(ResetSide side) {
 			Direction silenced = (side == ResetSide.CLIENT) ? this.forth : this.back;
 			resetChannel(silenced.from);
 			if (!silenced.ended) {
--- a/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
@@ -165,6 +165,35 @@
 		assertThat(this.target.getInputStream().readAllBytes()).containsExactly(2);
 	}
 
+	@Example
+	void aHeldRequestIsDeliveredAfterItsClientWasResetAndItsEndRightBehindIt() throws IOException {
+		this.proxy.holdRequests(new RequestHold(100, 500, 1, 20, 0), 1);
+		this.client.getOutputStream().write(1);
+		assertIsReset(this.client);
+		assertIsQuiet(this.target);
+		assertThat(this.target.getInputStream().read()).isEqualTo(1);
+		assertIsReset(this.target);
+	}
+
+	@Example
+	void aHeldRequestOfAClientThatLeavesIsDeliveredAndItsEndIsHeldLonger() throws IOException {
+		this.proxy.holdRequests(new RequestHold(100, 500, 1, -1, 1_000), 1);
+		this.client.getOutputStream().write(1);
+		this.client.close();
+		assertIsQuiet(this.target);
+		assertThat(this.target.getInputStream().read()).isEqualTo(1);
+		assertIsQuiet(this.target);
+		this.target.setSoTimeout(5_000);
+		assertThat(this.target.getInputStream().read()).isEqualTo(-1);
+	}
+
+	@Example
+	void requestsAfterTheHoldAreForwardedAtOnce() throws IOException {
+		this.proxy.holdRequests(new RequestHold(100, 500, 1, -1, 0), 1);
+		this.proxy.stopHolding();
+		transfer(this.client, this.target, 1);
+	}
+
 	@Example
 	void aLateEndFollowsTheBytesAfterADelay() throws IOException {
 		this.proxy.impair(FaultProxy.Mode.LATE_CLOSE, FaultProxy.ResetSide.NONE, 100, 1);
--- a/soak/src/test/java/io/coriandermux/soak/FaultRange.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultRange.java
@@ -44,6 +44,7 @@
 	List<Fault.Kind> drawKinds(Random random) {
 		List<Fault.Kind> kinds = new ArrayList<>(List.of(Fault.Kind.values()));
 		if (this.name.equals(ON_SITE)) {
+			kinds.removeIf((kind) -> !kind.isDrawnOnSite());
 			kinds.removeIf((kind) -> random.nextInt(100) >= (kind.isOnSite() ? WIDESPREAD_PERCENT : OTHERS_PERCENT));
 			return kinds.isEmpty() ? List.of(Fault.Kind.HALF_OPEN_CALLERS) : kinds;
 		}
--- a/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
@@ -38,14 +38,17 @@
 	}
 
 	@Example
-	void siteSeedsPlayEachKind() {
-		assertThat(kindsOfManySeeds("site")).containsExactlyInAnyOrder(Fault.Kind.values());
+	void siteSeedsPlayEachKindButThatOfHeldRequests() {
+		Set<Fault.Kind> expected = new HashSet<>(Set.of(Fault.Kind.values()));
+		expected.remove(Fault.Kind.HOLD_REQUESTS);
+		assertThat(kindsOfManySeeds("site")).isEqualTo(expected);
 	}
 
 	@Example
 	void knowsWhichFaultsNeedTheBalancer() {
 		assertThat(new FaultRange("site").needsBalancer()).isTrue();
 		assertThat(new FaultRange("RESET_ALL,HALF_OPEN_CALLERS").needsBalancer()).isTrue();
+		assertThat(new FaultRange("HOLD_REQUESTS").needsBalancer()).isTrue();
 		assertThat(new FaultRange("RESET_ALL,RESTART_SOON").needsBalancer()).isFalse();
 		assertThat(new FaultRange("widespread").needsBalancer()).isFalse();
 		assertThat(FaultRange.SINGLE.needsBalancer()).isFalse();
--- a/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
@@ -47,7 +47,7 @@
 	 * Jobs that faults interrupt run again, which takes as much again. If they wait for
 	 * free cores then, their second runs start after the first ones have ended anyway.
 	 */
-	private static final double TARGET_LOAD = 0.35;
+	static final int DEFAULT_LOAD_PERCENT = 35;
 
 	private static final int MIN_CORES = 16;
 
@@ -113,11 +113,13 @@
 	/**
 	 * Returns the capacity that an endpoint needs for a rate.
 	 * @param rate jobs a second
+	 * @param percent the share of the capacity that the jobs use without faults
 	 * @param endpoints number of endpoints
 	 * @return the capacity in thousandths of a core
 	 */
-	static int requiredCapacity(int rate, int endpoints) {
-		return Math.max(MIN_CORES, (int) Math.ceil(rate * MEAN_CORE_SECONDS / TARGET_LOAD / endpoints)) * 1_000;
+	static int requiredCapacity(int rate, int percent, int endpoints) {
+		int cores = (int) Math.ceil(rate * MEAN_CORE_SECONDS * 100 / percent / endpoints);
+		return ((percent == DEFAULT_LOAD_PERCENT) ? Math.max(MIN_CORES, cores) : cores) * 1_000;
 	}
 
 	long answered() {
@@ -199,11 +201,13 @@
 	 *
 	 * @param rate jobs a second, 0 for callers that each wait for their previous job
 	 * @param waitMillis the time that a caller waits for an answer, in milliseconds
+	 * @param percent the share of the endpoints' capacity that the jobs use without
+	 * faults
 	 */
-	record Load(int rate, int waitMillis) {
+	record Load(int rate, int waitMillis, int percent) {
 
 		/** Callers in a closed loop, which is what the plans of the first seeds need. */
-		static final Load CLOSED = new Load(0, 0);
+		static final Load CLOSED = new Load(0, 0, DEFAULT_LOAD_PERCENT);
 
 		boolean isClosed() {
 			return this.rate == 0;
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -35,6 +35,25 @@
 
 	private static final int HALF_OPEN_MILLIS = 3_000;
 
+	/**
+	 * Callers come back 1.3 s after a break, and 2.8 s after a request that they give up.
+	 */
+	private static final int RETURN_MILLIS = 1_300;
+
+	private static final int RETURN_AFTER_WAIT_MILLIS = 2_800;
+
+	/** An entry announces a batch 0.4 s after it has accepted it. */
+	private static final int LATER_RANGE_MILLIS = 400;
+
+	private static final int LEAVE_MILLIS = 20;
+
+	/** Longer than the entry and its callers wait. */
+	private static final int UNTOLD_MILLIS = 4_000;
+
+	private static final int MIN_HELD_PERCENT = 5;
+
+	private static final int HELD_PERCENT_RANGE = 26;
+
 	private static final int MIN_IMPAIRMENT_MILLIS = 300;
 
 	private static final int IMPAIRMENT_RANGE_MILLIS = 2_700;
@@ -85,6 +104,7 @@
 				case PAUSE_LONG -> pause(drawEntry(choice), drawPauseMillis(choice));
 				case FREEZE_RESET -> freeze(choice);
 				case PAUSE_HALF_OPEN -> pauseHalfOpen(choice);
+				case HOLD_REQUESTS -> holdRequests(choice);
 				default -> throw new IllegalArgumentException("no fault of the sites: " + fault.kind());
 			}
 			sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
@@ -146,6 +166,20 @@
 				MIN_HALF_OPEN_PAUSE_MILLIS + choice.nextInt(HALF_OPEN_PAUSE_RANGE_MILLIS));
 	}
 
+	private void holdRequests(Random choice) {
+		int number = choice.nextInt(this.cluster.entries().size());
+		boolean waits = choice.nextBoolean();
+		RequestHold hold = new RequestHold(MIN_HELD_PERCENT + choice.nextInt(HELD_PERCENT_RANGE),
+				waits ? RETURN_AFTER_WAIT_MILLIS : RETURN_MILLIS, LATER_RANGE_MILLIS, waits ? -1 : LEAVE_MILLIS,
+				choice.nextBoolean() ? 0 : UNTOLD_MILLIS);
+		long millis = MIN_IMPAIRMENT_MILLIS + choice.nextInt(IMPAIRMENT_RANGE_MILLIS);
+		this.disturbance.accept(millis + RETURN_AFTER_WAIT_MILLIS + LATER_RANGE_MILLIS + UNTOLD_MILLIS);
+		this.trace.accept("hold requests to entry-" + (number + 1) + " for " + millis + " ms: " + hold);
+		FaultProxy path = this.cluster.balancer().path(number);
+		path.holdRequests(hold, choice.nextLong());
+		endAfter(millis, path::stopHolding);
+	}
+
 	private void freeze(Random choice) throws IOException, InterruptedException {
 		SystemProcess process = drawProcess(choice);
 		long millis = drawPauseMillis(choice);
--- a/soak/src/test/java/io/coriandermux/soak/Soak.java
+++ b/soak/src/test/java/io/coriandermux/soak/Soak.java
@@ -23,8 +23,9 @@
 	/**
 	 * Runs consecutive seeds and exits with 1 if a run violates a guarantee.
 	 * @param arguments the first seed, the number of seeds, seconds of faults, entries
-	 * and guards, the range of the faults, jobs a second (0 for a closed loop), and the
-	 * milliseconds that a caller waits, or the word regression
+	 * and guards, the range of the faults, jobs a second (0 for a closed loop), the
+	 * milliseconds that a caller waits, and the load of the endpoints in percent, or the
+	 * word regression
 	 * @throws IOException if a process cannot be started
 	 * @throws InterruptedException if the thread is interrupted
 	 */
@@ -35,7 +36,8 @@
 		long first = Long.parseLong(arguments[0]);
 		long count = Long.parseLong(arguments[1]);
 		long faultMillis = Long.parseLong(arguments[2]) * 1000;
-		SiteCallers.Load load = new SiteCallers.Load(Integer.parseInt(arguments[6]), Integer.parseInt(arguments[7]));
+		SiteCallers.Load load = new SiteCallers.Load(Integer.parseInt(arguments[6]), Integer.parseInt(arguments[7]),
+				Integer.parseInt(arguments[8]));
 		FaultRange range = new FaultRange(arguments[5]);
 		if (range.needsBalancer() && load.isClosed()) {
 			throw new IllegalArgumentException("these faults need callers at a rate: " + range.name());
@@ -56,7 +58,8 @@
 				String[] fields = line.split(" ");
 				passed &= runSeed(Long.parseLong(fields[0]), Long.parseLong(fields[1]) * 1000,
 						Integer.parseInt(fields[2]), Integer.parseInt(fields[3]), new FaultRange(fields[4]),
-						new SiteCallers.Load(Integer.parseInt(fields[5]), Integer.parseInt(fields[6])))
+						new SiteCallers.Load(Integer.parseInt(fields[5]), Integer.parseInt(fields[6]),
+								SiteCallers.DEFAULT_LOAD_PERCENT))
 					.isEmpty();
 			}
 		}
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -185,7 +185,8 @@
 		}
 		this.random = new Random(seed);
 		this.folder = folder;
-		int capacity = load.isClosed() ? CLOSED_LOOP_CAPACITY : SiteCallers.requiredCapacity(load.rate(), guardCount);
+		int capacity = load.isClosed() ? CLOSED_LOOP_CAPACITY
+				: SiteCallers.requiredCapacity(load.rate(), load.percent(), guardCount);
 		this.cluster = new Cluster(this.random, folder, this.trace, this.checker, entryCount, guardCount, capacity);
 		this.siteCallers = new SiteCallers(this.cluster, this.checker, this.trace::write, this::isUndisturbed, load,
 				seed);
@@ -365,7 +366,8 @@
 				case PAUSE_MANY -> pauseMany(new Random(fault.target()));
 				case LATE_ORDERS_MANY -> delayOrders(new Random(fault.target()), fault);
 				case STORE -> impairStore(fault);
-				case RESTART_SOON, HALF_OPEN_CALLERS, HARM_CALLERS, PAUSE_LONG, FREEZE_RESET, PAUSE_HALF_OPEN ->
+				case RESTART_SOON, HALF_OPEN_CALLERS, HARM_CALLERS, PAUSE_LONG, FREEZE_RESET, PAUSE_HALF_OPEN,
+						HOLD_REQUESTS ->
 					this.siteFaults.inject(fault);
 				default -> impairEndpoint(
 						this.cluster.endpoints().get(fault.target() % this.cluster.endpoints().size()), fault);
