Repeat an unanswered start order at the same endpoint

A start order without an answer was stopped at its endpoint and reported as not started, and the entry started the task elsewhere at once.

The next incarnation can't be kept from an order that is on its way, so the task must not run elsewhere as long as the order may be carried out:

- The order is repeated at the same endpoint, with a higher token, after a poll with a higher token has shown that the run is not active.
A refusal of the repeated order proves nothing about the first one.
- A run with an unanswered order that is less than 12.5 s old does not end with its lease, with a refused connection, or with a new incarnation alone.
It is stopped at the new incarnation first.
- An order that is known to have been carried out is not waited for.

The runs of a guard that has started again are not covered: it does not know which orders of its predecessor were not answered.

--- a/core/src/main/java/io/coriandermux/core/lease/EndProof.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EndProof.java
@@ -21,8 +21,8 @@
 	NEW_INCARNATION("a new incarnation of the endpoint"),
 
 	/**
-	 * The endpoint refuses connections after its lease has expired, so its process and
-	 * the orders that it had received are gone.
+	 * The endpoint refuses connections after its lease has expired, and no order can be
+	 * carried out late any more.
 	 */
 	UNREACHABLE("no connection to the endpoint can be opened and its lease has expired"),
 
--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -30,21 +30,38 @@
 
 	}
 
+	/**
+	 * An order without an answer may be carried out up to 12 s later. The time counts
+	 * from the order, which may leave this VM a little later.
+	 */
+	private static final long MAX_START_DELAY_NANOS = 12_500_000_000L;
+
 	final RunId run;
 
 	final ResourceAmounts needs;
 
 	final long requestedNanos;
 
-	/** Fencing token of the start order. */
-	final long startToken;
-
 	private final Set<EntryId> previousEntries = new LinkedHashSet<>();
 
 	private EntryId entry;
 
 	private long order;
 
+	private String spec = "";
+
+	/** Fencing token of the last start order. */
+	private long startToken;
+
+	private long startSentNanos;
+
+	private int startOrders = 1;
+
+	private int startAnswers;
+
+	/** Start orders that count as unanswered while their calls have not ended. */
+	private int overdueStarts;
+
 	private State state = State.START_PENDING;
 
 	private RunOutcome stopOutcome = RunOutcome.STOPPED;
@@ -86,10 +103,78 @@
 		this.entry = entry;
 		this.needs = needs;
 		this.requestedNanos = nowNanos;
+		this.startSentNanos = nowNanos;
 		this.lastOrderNanos = nowNanos;
 		this.progressNanos = nowNanos;
 	}
 
+	String spec() {
+		return this.spec;
+	}
+
+	void setSpec(String value) {
+		this.spec = value;
+	}
+
+	long startToken() {
+		return this.startToken;
+	}
+
+	long startSentNanos() {
+		return this.startSentNanos;
+	}
+
+	int startOrders() {
+		return this.startOrders;
+	}
+
+	/**
+	 * Records that the start order is repeated because it was not answered and the run is
+	 * not active.
+	 * @param token fencing token of the order
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void repeatStart(long token, long nowNanos) {
+		this.startOrders++;
+		this.startToken = token;
+		this.startSentNanos = nowNanos;
+		this.lastOrderNanos = nowNanos;
+		this.state = State.START_PENDING;
+	}
+
+	/**
+	 * Records the end of a call with a start order.
+	 * @param answered whether the endpoint has answered
+	 * @return whether it was an earlier order that already counted as unanswered
+	 */
+	boolean endStartCall(boolean answered) {
+		if (answered) {
+			this.startAnswers++;
+		}
+		if (this.overdueStarts == 0) {
+			return false;
+		}
+		this.overdueStarts--;
+		return true;
+	}
+
+	boolean hasUnansweredStart() {
+		// Each order is carried out once, so the only one has been if the run was active.
+		boolean carriedOut = this.startOrders == 1 && this.listed;
+		return !carriedOut && this.startAnswers < this.startOrders;
+	}
+
+	/**
+	 * Returns whether a start order may still be carried out. The present incarnation of
+	 * the endpoint can be kept from it by a token or a stop order, but the next one knows
+	 * neither until this guard has reached it.
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return whether a start order was not answered and is not too old
+	 */
+	boolean mayStartLate(long nowNanos) {
+		return hasUnansweredStart() && nowNanos - this.startSentNanos < MAX_START_DELAY_NANOS;
+	}
+
 	/**
 	 * Returns the entry that has requested the run most recently.
 	 * @return the entry
@@ -185,6 +270,11 @@
 		this.firstConclusivePoll = nextPoll;
 	}
 
+	void markOverdue() {
+		this.overdueStarts++;
+		markUnconfirmed();
+	}
+
 	void markUnconfirmed() {
 		this.startOverdue = true;
 		this.state = State.START_UNCONFIRMED;
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -286,27 +286,33 @@
 		this.nowNanos = now.nanos();
 		recordAnswer(clockMillis, now);
 		Optional<HeldRun> found = this.runs.find(run);
-		if (result != OrderResult.UNANSWERED) {
-			found.ifPresent((held) -> this.startTimeout.observe(now.nanos() - held.requestedNanos));
-		}
+		// Which of several orders was answered is not known.
+		found.filter((held) -> result != OrderResult.UNANSWERED && held.startOrders() == 1)
+			.ifPresent((held) -> this.startTimeout.observe(now.nanos() - held.requestedNanos));
+		boolean overdue = found.map((held) -> held.endStartCall(result != OrderResult.UNANSWERED)).orElse(false);
 		this.runNotices.onStartAnswered(run, result, found.orElse(null), now.nanos());
 		if (result == OrderResult.ACCEPTED) {
 			found.ifPresent(HeldRun::markStarted);
 		}
 		Optional<HeldRun> pending = found.filter((held) -> held.state() == HeldRun.State.START_PENDING
 				|| (held.state() == HeldRun.State.START_UNCONFIRMED && result != OrderResult.UNANSWERED));
-		if (pending.isEmpty()) {
+		if (pending.isEmpty() || (overdue && result == OrderResult.UNANSWERED)) {
 			return;
 		}
 		HeldRun held = pending.get();
 		held.setStartResult(result);
+		if (held.hasUnansweredStart() && isRefusal(result)) {
+			onRepeatedStartRefused(held, result, now);
+			return;
+		}
 		switch (result) {
 			case ACCEPTED -> {
 				held.markRunning(this.polls.nextNumber());
 				poll(now, this.settings.pollMillis(), false);
 			}
 			case UNANSWERED -> {
-				markUnconfirmed(held);
+				held.markUnconfirmed();
+				onUnconfirmed(held);
 				poll(now, 0, true);
 			}
 			case NO_ROOM -> endUnstarted(held, RunOutcome.NO_ROOM, now);
@@ -314,7 +320,7 @@
 			case INVALID -> endUnstarted(held, RunOutcome.INVALID, now);
 			case SUPERSEDED -> endUnstarted(held, RunOutcome.SUPERSEDED, now);
 			case FENCED -> {
-				this.token.onRefused(held.startToken);
+				this.token.onRefused(held.startToken());
 				endUnstarted(held, RunOutcome.NOT_STARTED, now);
 			}
 			case NOT_SENT -> {
@@ -326,15 +332,55 @@
 		}
 	}
 
+	private static boolean isRefusal(OrderResult result) {
+		return switch (result) {
+			// An order of this kind is refused whenever it is carried out.
+			case ACCEPTED, UNANSWERED, INVALID -> false;
+			default -> true;
+		};
+	}
+
+	// An earlier order for the run may still be carried out, so a refusal does not prove
+	// that the run will not start.
+	private void onRepeatedStartRefused(HeldRun held, OrderResult result, Moment now) {
+		if (result == OrderResult.SUPERSEDED) {
+			held.markRunning(this.polls.nextNumber());
+			poll(now, 0, true);
+		}
+		else if (result == OrderResult.NOT_SENT) {
+			this.unreachable = true;
+			sendLoads(true, now);
+		}
+	}
+
+	// The endpoint has received a higher token than that of the unanswered order. Only
+	// its next incarnation may still carry the order out, and must not do so while the
+	// task runs elsewhere, so the task stays here.
+	private void repeatStarts(Poll poll, Moment now) {
+		for (HeldRun held : this.runs.absentStarts(poll)) {
+			if (!isAccepting()) {
+				this.runs.stop(held, RunOutcome.NOT_STARTED, StopCause.START_UNANSWERED, now.nanos());
+				continue;
+			}
+			EntrySession session = this.sessions.find(held.entry()).filter(EntrySession::isUsable).orElse(null);
+			OptionalLong until = (session != null) ? this.leases.grantStart(session, now.nanos())
+					: OptionalLong.empty();
+			if (until.isPresent()) {
+				LeaseTerms lease = terms(until);
+				this.runNotices.onStartRepeated(held, session, lease, now.nanos());
+				this.runs.repeatStart(held, lease, now.nanos());
+			}
+		}
+	}
+
 	private void endUnstarted(HeldRun held, RunOutcome outcome, Moment now) {
 		this.runs.end(held, outcome, EndProof.START_ANSWER, now.nanos());
 	}
 
-	private void markUnconfirmed(HeldRun held) {
-		held.markUnconfirmed();
-		this.token.shutOut(held.startToken, this.nowNanos);
+	private void onUnconfirmed(HeldRun held) {
+		this.token.shutOut(held.startToken(), this.nowNanos);
 		sendNotice(NoticeKind.ORDER_UNANSWERED, held.run.toString(),
-				"start, after " + (this.nowNanos - held.requestedNanos) / NANOS_PER_MILLI + " ms");
+				"start, after " + (this.nowNanos - held.startSentNanos()) / NANOS_PER_MILLI + " ms");
 	}
 
 	// The state of a run whose start is answered late is clarified by a poll, long before
@@ -344,10 +390,13 @@
 		List<HeldRun> overdue = this.runs.list()
 			.stream()
 			.filter((held) -> held.state() == HeldRun.State.START_PENDING
-					&& now.nanos() - held.requestedNanos >= timeoutNanos)
+					&& now.nanos() - held.startSentNanos() >= timeoutNanos)
 			.toList();
 		if (!overdue.isEmpty()) {
-			overdue.forEach(this::markUnconfirmed);
+			overdue.forEach((held) -> {
+				held.markOverdue();
+				onUnconfirmed(held);
+			});
 			poll(now, 0, true);
 		}
 	}
@@ -374,7 +423,8 @@
 			held.get().confirmStop(this.polls.nextNumber());
 			poll(now, 0, true);
 		}
-		else if (held.isPresent() && result == OrderResult.NOT_SENT && this.clock.isExpired(now.nanos())) {
+		else if (held.isPresent() && result == OrderResult.NOT_SENT && this.clock.isExpired(now.nanos())
+				&& !held.get().mayStartLate(now.nanos())) {
 			this.runs.end(held.get(), held.get().stopOutcome(), EndProof.UNREACHABLE, now.nanos());
 		}
 	}
@@ -435,6 +485,7 @@
 			this.runEndReporter.onSettled();
 			sendLoads(true, now);
 		}
+		repeatStarts(poll, now);
 		if (needsPoll()) {
 			poll(now, this.settings.pollMillis(), false);
 		}
@@ -568,7 +619,7 @@
 		shutOutPreviousGuards(now);
 		this.runs.repeatStops(now.nanos());
 		if (!this.runs.isEmpty() && this.clock.isExpired(now.nanos())) {
-			if (this.runs.list().stream().anyMatch(HeldRun::isStarted)) {
+			if (this.runs.list().stream().anyMatch((held) -> RunTable.isLapsed(held, now.nanos()))) {
 				this.runNotices.onLeaseEnded(this.endpointIncarnation, this.runs.list(), now.nanos());
 			}
 			this.runs.onLeaseExpired(now.nanos());
--- a/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
+++ b/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
@@ -1,11 +1,18 @@
 package io.coriandermux.core.lease;
 
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
 /**
  * Tracks which polls were sent and answered, and which ends of runs were processed and
  * acknowledged.
  */
 final class PollTracker {
 
+	/** A poll ends within 400 ms, in which the token rises once in 20 ms at most. */
+	private static final int MAX_TOKENS = 32;
+
 	private long lastSent;
 
 	private long lastAnswered;
@@ -14,8 +21,8 @@
 
 	private long lastToken;
 
-	/** Number of the first poll that was sent with the last token. */
-	private long firstWithLastToken;
+	/** The fencing tokens by the number of the first poll that was sent with each. */
+	private final NavigableMap<Long, Long> tokens = new TreeMap<>();
 
 	private long highestReceivedEnd;
 
@@ -34,7 +41,10 @@
 		this.lastSent++;
 		if (token != this.lastToken) {
 			this.lastToken = token;
-			this.firstWithLastToken = this.lastSent;
+			this.tokens.put(this.lastSent, token);
+			if (this.tokens.size() > MAX_TOKENS) {
+				this.tokens.pollFirstEntry();
+			}
 		}
 		this.lastSentNanos = nowNanos;
 		return new Poll(this.lastSent, this.highestReceivedEnd, waitMillis);
@@ -58,10 +68,11 @@
 	/**
 	 * Returns the fencing token that a poll was sent with.
 	 * @param poll the poll
-	 * @return the token, 0 if later polls were sent with another one
+	 * @return the token, 0 if many later ones were used since
 	 */
 	long tokenOf(Poll poll) {
-		return (poll.number() >= this.firstWithLastToken) ? this.lastToken : 0;
+		Map.Entry<Long, Long> first = this.tokens.floorEntry(poll.number());
+		return (first != null) ? first.getValue() : 0;
 	}
 
 	void onAnswered(Poll poll) {
--- a/core/src/main/java/io/coriandermux/core/lease/RunNotices.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunNotices.java
@@ -58,6 +58,15 @@
 						+ " ago");
 	}
 
+	void onStartRepeated(HeldRun held, EntrySession session, LeaseTerms lease, long nowNanos) {
+		send(NoticeKind.RUN_ORDERED, held.run,
+				"by " + held.entry() + " incarnation " + session.incarnation().value() + ", order " + held.order()
+						+ " repeated " + millis(nowNanos - held.requestedNanos) + " after the first time, token "
+						+ lease.token() + ", lease until " + until(lease.expiresAtMillis())
+						+ " on the endpoint's clock, session confirmed " + millis(nowNanos - session.confirmedNanos())
+						+ " ago");
+	}
+
 	void onStartAnswered(RunId run, OrderResult result, HeldRun held, long nowNanos) {
 		send(NoticeKind.START_ANSWERED, run,
 				result + " " + ((held != null) ? "after " + millis(nowNanos - held.requestedNanos) + ", " + held.state()
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -135,12 +135,38 @@
 	}
 
 	void start(EntryId entry, StartRun start, LeaseTerms lease, long nowNanos) {
-		this.runs.put(start.run(),
-				new HeldRun(start.run(), entry, start.order(), start.needs(), lease.token(), nowNanos));
+		HeldRun held = new HeldRun(start.run(), entry, start.order(), start.needs(), lease.token(), nowNanos);
+		held.setSpec(start.spec());
+		this.runs.put(start.run(), held);
 		this.used = this.used.plus(start.needs());
 		this.orders.start(lease, start.run(), start.spec());
 	}
 
+	/**
+	 * Repeats the start order of a run that is not active.
+	 * @param held the run
+	 * @param lease the lease that authorizes the order
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void repeatStart(HeldRun held, LeaseTerms lease, long nowNanos) {
+		held.repeatStart(lease.token(), nowNanos);
+		this.orders.start(lease, held.run, held.spec());
+	}
+
+	/**
+	 * Returns the runs whose start was not answered and that were not active when the
+	 * endpoint refused all start orders for them.
+	 * @param poll the last answered poll
+	 * @return the runs
+	 */
+	List<HeldRun> absentStarts(Poll poll) {
+		return this.runs.values()
+			.stream()
+			.filter((held) -> held.state() == HeldRun.State.START_UNCONFIRMED
+					&& this.polls.tokenOf(poll) > held.startToken())
+			.toList();
+	}
+
 	/**
 	 * Removes a run that has certainly ended.
 	 * @param held the run
@@ -194,39 +220,51 @@
 
 	/**
 	 * Ends the runs of the previous incarnation because a new incarnation of the endpoint
-	 * has started. A start order that no poll has shown the effect of may have reached
-	 * the new incarnation, so such a run is stopped there instead.
+	 * has started. A start order without an answer, or one that no poll has shown the
+	 * effect of, may reach the new incarnation, so such a run is stopped there instead.
 	 * @param nowNanos the current time on the monotonic clock
 	 */
 	void onNewIncarnation(long nowNanos) {
 		this.unknownRun = false;
 		for (HeldRun held : list()) {
-			if (held.wasListed()) {
+			if (held.wasListed() && !held.mayStartLate(nowNanos)) {
 				end(held, RunOutcome.ENDPOINT_LOST, EndProof.NEW_INCARNATION, nowNanos);
 			}
 			else {
 				this.notices.onStopRequested(held, StopCause.NEW_INCARNATION, nowNanos);
-				held.restartStop(RunOutcome.NOT_STARTED);
+				held.restartStop(held.wasListed() ? RunOutcome.ENDPOINT_LOST : RunOutcome.NOT_STARTED);
 			}
 		}
 	}
 
 	/**
 	 * Ends the runs that were active under a lease that has expired. A start order that
-	 * was not answered may still be carried out, so such a run is stopped instead.
+	 * was not answered may still be carried out, if not by this incarnation of the
+	 * endpoint then by the next one, so such a run is stopped instead.
 	 * @param nowNanos the current time on the monotonic clock
 	 */
 	void onLeaseExpired(long nowNanos) {
 		for (HeldRun held : list()) {
-			if (held.isStarted()) {
+			if (isLapsed(held, nowNanos)) {
 				end(held, RunOutcome.LAPSED, EndProof.LEASE_EXPIRED, nowNanos);
 			}
 			else {
-				stop(held, RunOutcome.NOT_STARTED, StopCause.START_UNANSWERED, nowNanos);
+				stop(held, held.isStarted() ? RunOutcome.LAPSED : RunOutcome.NOT_STARTED, StopCause.START_UNANSWERED,
+						nowNanos);
 			}
 		}
 	}
 
+	/**
+	 * Returns whether a run ends with the lease.
+	 * @param held the run
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return whether it has started and can't start again
+	 */
+	static boolean isLapsed(HeldRun held, long nowNanos) {
+		return held.isStarted() && !held.mayStartLate(nowNanos);
+	}
+
 	/**
 	 * Updates the runs from the answer to a poll.
 	 * @param poll the poll
@@ -256,9 +294,6 @@
 				end(held, (held.state() == HeldRun.State.STOPPING) ? held.stopOutcome() : RunOutcome.ENDPOINT_LOST,
 						EndProof.ABSENT, nowNanos);
 			}
-			else if (held.state() == HeldRun.State.START_UNCONFIRMED) {
-				stop(held, RunOutcome.NOT_STARTED, StopCause.START_UNANSWERED, nowNanos);
-			}
 		}
 		active.keySet().forEach((run) -> stopOrphan(run, nowNanos));
 		this.unknownRun = !active.isEmpty();
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseGrantTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseGrantTests.java
@@ -97,6 +97,13 @@
 		this.harness.advance(500);
 		assertThat(this.harness.stops).contains(RUN);
 		this.harness.leaseManager.onStopAnswered(RUN, OrderResult.NOT_SENT, OptionalLong.empty(), this.harness.now());
+		assertThat(this.harness.outcomes(RUN)).isEmpty();
+		// The next incarnation may carry the order out for 12 s.
+		this.harness.advance(11_000);
+		this.harness.leaseManager.onStopAnswered(RUN, OrderResult.NOT_SENT, OptionalLong.empty(), this.harness.now());
+		assertThat(this.harness.outcomes(RUN)).isEmpty();
+		this.harness.advance(500);
+		this.harness.leaseManager.onStopAnswered(RUN, OrderResult.NOT_SENT, OptionalLong.empty(), this.harness.now());
 		assertThat(this.harness.outcomes(RUN)).containsExactly(RunOutcome.NOT_STARTED);
 	}
 
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsOfATaskTests.java
@@ -279,6 +279,33 @@
 		}
 	}
 
+	// A start order without an answer is carried out by the next incarnation of its
+	// endpoint before the first poll there, seconds after the task was started elsewhere
+	// (review/5).
+	@Example
+	void aTaskDoesNotRunElsewhereWhileTheNextIncarnationMayCarryOutItsStart() {
+		for (boolean closesConnections : new boolean[] { true, false }) {
+			for (long upMillis = 2; upMillis <= 74; upMillis += 8) {
+				ClusterModel cluster = ClusterModel.small();
+				cluster.advance(600);
+				cluster.setFatesFromNextStart(
+						(kind, run) -> (kind == OrderKind.START) ? OrderFate.lateBy(2_500, false) : OrderFate.NORMAL);
+				cluster.submit(cluster.entry(0), JOB, 6_000);
+				cluster.advance(10);
+				cluster.clearFates();
+				cluster.advance(990);
+				assertThat(cluster.holder(JOB)).isPresent();
+				cluster.affected().endpoint().crash(closesConnections);
+				cluster.advance(1_500 - upMillis);
+				cluster.affected().endpoint().restart(true);
+				cluster.advance(4_000);
+				assertNoTaskRanTwice(cluster);
+				assertThat(cluster.prematureEnds()).isEmpty();
+				assertThat(cluster.holder(JOB)).isPresent();
+			}
+		}
+	}
+
 	// An entry stands still before it sends a start request, which then reaches a new
 	// incarnation of the guard. The entry considers the run ended with the previous one.
 	@Example
