Learn the answer time of a start order that was shut out

An order that was repeated and whose first call was refused did not count for the timeout of start orders, so an endpoint that needs longer than 20 ms for each order would have every order shut out and repeated. The refusal of the first order is the answer to it and is observed now.

--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -286,10 +286,12 @@
 		this.nowNanos = now.nanos();
 		recordAnswer(clockMillis, now);
 		Optional<HeldRun> found = this.runs.find(run);
-		// Which of several orders was answered is not known.
-		found.filter((held) -> result != OrderResult.UNANSWERED && held.startOrders() == 1)
-			.ifPresent((held) -> this.startTimeout.observe(now.nanos() - held.requestedNanos));
 		boolean overdue = found.map((held) -> held.endStartCall(result != OrderResult.UNANSWERED)).orElse(false);
+		// Of several orders the first is shut out, so it is known which one was refused.
+		found
+			.filter((held) -> result != OrderResult.UNANSWERED
+					&& (held.startOrders() == 1 || (overdue && result == OrderResult.FENCED)))
+			.ifPresent((held) -> this.startTimeout.observe(now.nanos() - held.requestedNanos));
 		this.runNotices.onStartAnswered(run, result, found.orElse(null), now.nanos());
 		if (result == OrderResult.ACCEPTED) {
 			found.ifPresent(HeldRun::markStarted);
--- a/core/src/test/java/io/coriandermux/core/lease/LateOrderTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LateOrderTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.core.run.RunOutcome;
 import net.jqwik.api.Example;
@@ -191,6 +192,26 @@
 		assertThat(this.harness.outcomes(LATE)).containsExactly(RunOutcome.LAPSED);
 	}
 
+	// Guards against a timeout that stays at 20 ms although the endpoint needs longer for
+	// each order: every order would be shut out and repeated.
+	@Example
+	void learnsTheAnswerTimeOfAnOrderThatItHasShutOut() {
+		answerUsualStarts();
+		this.harness.requestStart(LATE);
+		this.harness.advance(30);
+		this.harness.answerPoll(List.of(), List.of());
+		this.harness.advance(10);
+		this.harness.answerStart(LATE, OrderResult.FENCED);
+		this.harness.answerStart(LATE, OrderResult.ACCEPTED);
+		this.harness.answerPoll(List.of(new ActiveRun(LATE, 1)), List.of());
+		this.harness.notices.clear();
+		this.harness.requestStart(LeaseManagerHarness.run("next", 1));
+		this.harness.advance(30);
+		assertThat(this.harness.notices(NoticeKind.ORDER_UNANSWERED)).isEmpty();
+		this.harness.advance(20);
+		assertThat(this.harness.notices(NoticeKind.ORDER_UNANSWERED)).hasSize(1);
+	}
+
 	private void startAtTheSecondAttempt() {
 		this.harness.requestStart(LATE);
 		this.harness.answerStart(LATE, OrderResult.UNANSWERED);
