Keep claims and take-overs of batches at the guards

An entry concluded that a batch was its own from announcements that may not have arrived. A guard now keeps which entry has claimed a batch, so that the conclusion can rest on the answers of a majority of guards.

A claim is granted to one incarnation of one entry. Any other is answered with the holder and the age of its claim, or with the entry of the oldest run of the batch that the guard holds, unless it names the holder as replaced and no run of another entry is held. An answer counts as complete only after the guard has run for 15 s, and if it had room to keep the claim. A claim is kept for the time that it names, 60 s at most, after the last claim or start of its owner, and while a run of the batch is held.

A take-over stops the runs of other entries and is granted when none is left, the guard has settled, and the endpoint lists no run that the guard does not hold. Of several the one with the highest number, then entry, is in force; the others are denied, also pending ones, and so is a take-over whose claim has been replaced since.

A start is refused with CLAIMED if another entry has the claim or runs of the batch, also for other tasks of the batch than those of the runs. The refusal is recorded for that entry alone, so the run never starts for it later.

--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -9,12 +9,15 @@
 import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
+import io.coriandermux.core.message.BatchHolder;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.EndpointChanged;
 import io.coriandermux.core.message.HeldRuns;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.SessionPong;
 import io.coriandermux.core.message.StartRun;
 import io.coriandermux.core.message.StopRun;
+import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.notice.Notice;
 import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.EndpointLoad;
@@ -74,6 +77,8 @@
 
 	private final LeaseGranter leases;
 
+	private final BatchClaims claims;
+
 	/** The incarnation that orders are addressed to; null while none is known. */
 	private EndpointIncarnation endpointIncarnation;
 
@@ -120,6 +125,7 @@
 		this.runs = new RunTable(settings, orders, () -> terms(OptionalLong.empty()), this.polls, this::onRunEnded,
 				this.runNotices);
 		this.leases = new LeaseGranter(settings, this.clock, this.runs, this.sessions);
+		this.claims = new BatchClaims(this.runs, entries, () -> this.settled, notices);
 	}
 
 	/**
@@ -355,6 +361,7 @@
 			this.runEndReporter.onSettled();
 			sendLoads(true, now);
 		}
+		this.claims.answerTakeOvers(now.nanos());
 		if (needsPoll()) {
 			poll(now, this.settings.pollMillis(), false);
 		}
@@ -387,6 +394,7 @@
 			return;
 		}
 		stopAll(entry, StopCause.ENTRY_LOST, now);
+		this.claims.onEntryLost(entry);
 		this.sessions.close(entry);
 	}
 
@@ -417,6 +425,12 @@
 		else if (message instanceof HeldRuns held) {
 			reconcile(sender, held.runs(), now);
 		}
+		else if (message instanceof ClaimBatch claim) {
+			this.claims.claim(sender, claim, now.nanos());
+		}
+		else if (message instanceof TakeOverBatch takeOver) {
+			this.claims.takeOver(sender, takeOver, now.nanos());
+		}
 		else if (message instanceof SessionPong pong) {
 			session.get().confirm(pong.clockNanos());
 		}
@@ -436,11 +450,11 @@
 			this.runEndReporter.reportInactive(sender, start.run(), this.settled);
 			return;
 		}
-		Optional<HeldRun> heldForOther = this.runs.find(start.run());
-		if (heldForOther.isPresent()) {
-			this.runNotices.onReordered(start.run(), sender.entry(),
-					"held for " + heldForOther.get().entry() + " in state " + heldForOther.get().state());
-			refuse(sender, session, start.run(), RunOutcome.CLAIMED);
+		Optional<BatchHolder> holder = this.claims.onStartRequested(sender, start.run().batch(), now.nanos());
+		if (holder.isPresent()) {
+			this.runNotices.onClaimed(start.run(), sender, holder.get());
+			this.runEndReporter.reportRefusal(sender, start.run(), RunOutcome.CLAIMED);
+			sendLoad(sender.entry(), session);
 			return;
 		}
 		if (this.runEndReporter.wasOrdered(start.run())) {
@@ -503,6 +517,7 @@
 			}
 			this.runs.onLeaseExpired(now.nanos());
 		}
+		this.claims.tick(now.nanos());
 		boolean overdue = now.nanos() - this.polls
 			.lastSentNanos() >= (this.settings.pollMillis() + this.settings.callMillis()) * NANOS_PER_MILLI;
 		if (needsPoll() && (!this.polls.isPollPending() || overdue)
--- a/core/src/main/java/io/coriandermux/core/lease/RunNotices.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunNotices.java
@@ -7,6 +7,8 @@
 import java.util.stream.Collectors;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
+import io.coriandermux.core.message.BatchHolder;
 import io.coriandermux.core.message.RunEnded;
 import io.coriandermux.core.message.StartRun;
 import io.coriandermux.core.notice.Notice;
@@ -68,6 +70,13 @@
 		send(NoticeKind.RUN_REORDERED, run, "by " + entry + ", " + found);
 	}
 
+	void onClaimed(RunId run, EntryIncarnation entry, BatchHolder holder) {
+		send(NoticeKind.START_CLAIMED, run,
+				"requested by " + entry.entry() + " incarnation " + entry.incarnation().value() + ", batch held by "
+						+ holder.entry().entry() + " incarnation " + holder.entry().incarnation().value() + " for "
+						+ holder.ageMillis() + " ms");
+	}
+
 	/**
 	 * Reports a stop unless the run is already being stopped.
 	 * @param held the run
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -13,6 +13,7 @@
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.message.StartRun;
+import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.core.run.RunOutcome;
@@ -84,6 +85,24 @@
 		return find(run).filter((held) -> held.owner.equals(owner));
 	}
 
+	boolean holdsBatch(BatchId batch) {
+		return this.runs.keySet().stream().anyMatch((run) -> run.batch().equals(batch));
+	}
+
+	/**
+	 * Returns the runs of a batch that an entry has not requested itself.
+	 * @param batch the batch
+	 * @param owner the entry
+	 * @return the runs of other entries and of other incarnations of the entry, in the
+	 * order in which they were requested
+	 */
+	List<HeldRun> listOfOthers(BatchId batch, EntryIncarnation owner) {
+		return this.runs.values()
+			.stream()
+			.filter((held) -> held.run.batch().equals(batch) && !held.owner.equals(owner))
+			.toList();
+	}
+
 	ResourceAmounts used() {
 		return this.used;
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/StopCause.java
+++ b/core/src/main/java/io/coriandermux/core/lease/StopCause.java
@@ -23,6 +23,9 @@
 	/** A start order may have reached a new incarnation of the endpoint. */
 	NEW_INCARNATION("the start order may have reached the new incarnation of the endpoint"),
 
+	/** Another entry has taken the batch of the run over. */
+	TAKEN_OVER("another entry has taken the batch over"),
+
 	/** The run makes no progress. */
 	STALLED("no progress");
 
--- a/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
+++ b/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
@@ -173,7 +173,10 @@
 	 */
 	LEASE_OUTLASTS_SESSION(2711),
 
-	/** An entry ordered a run that the guard already holds or that has ended. */
+	/**
+	 * An entry ordered a run that the guard already holds for it or whose end it has
+	 * reported to it.
+	 */
 	RUN_REORDERED(2712),
 
 	/**
@@ -188,6 +191,21 @@
 	 */
 	END_NOT_HELD(2714),
 
+	/** A guard denied the claim of a batch because another entry holds the batch. */
+	CLAIM_DENIED(2715),
+
+	/** An entry takes a batch over whose former entry can't be asked. */
+	BATCH_TAKE_OVER_REQUESTED(2716),
+
+	/** A guard holds no run of another entry any more of a batch that is taken over. */
+	BATCH_TAKE_OVER_GRANTED(2717),
+
+	/** A guard denied the take-over of a batch, usually because of a later one. */
+	BATCH_TAKE_OVER_DENIED(2718),
+
+	/** A guard refused to start a run because another entry holds the batch. */
+	START_CLAIMED(2719),
+
 	/** A request to stop a run was dropped because the link to its guard is down. */
 	STOP_DROPPED(2721),
 
--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
@@ -137,6 +137,8 @@
 			case BATCH_ABANDONED:
 			case RUN_NOT_DONE:
 			case RUN_REFUSED:
+			case CLAIM_DENIED:
+			case BATCH_TAKE_OVER_GRANTED:
 			case TABLES_IN_FORCE:
 			case STOP_REQUESTED:
 			case STOP_CONFIRMED:
