--- a/core/src/main/java/io/coriandermux/core/lease/RunEndReporter.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunEndReporter.java
@@ -51,7 +51,11 @@
 	 * @param reason why it was not started
 	 */
 	void reportRefusal(EntryIncarnation owner, RunId run, RunOutcome reason) {
-		report(owner, new RunEnded(run, reason, 0));
+		// A claim of another entry explains only this refusal: the entry may claim the
+		// batch later and order a run of the same number.
+		RunOutcome kept = (reason == RunOutcome.CLAIMED) ? RunOutcome.NOT_STARTED : reason;
+		this.history.add(owner, new RunEnded(run, kept, 0));
+		send(owner, new RunEnded(run, reason, 0));
 	}
 
 	private void report(EntryIncarnation owner, RunEnded ended) {
