--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -50,13 +50,9 @@
 	/** A restart that begins in this time is over when the callers come back. */
 	private static final int RESTART_START_RANGE_MILLIS = 600;
 
-	*
-	Callers come back 1.3
-	s after a break,and 2.8
-	s after
-	a request
-	that they
-	give up.*/
+	/**
+	 * Callers come back 1.3 s after a break, and 2.8 s after a request that they give up.
+	 */
 	private static final int RETURN_MILLIS = 1_300;
 
 	private static final int RETURN_AFTER_WAIT_MILLIS = 2_800;
