Test that claims and take-overs pass between processes

With real links in one JVM: an entry claims a batch before it starts, claims nothing at a guard that announces the previous protocol, and takes over the batch of an entry that has ended.

--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchEndToEndTests.java
@@ -40,6 +40,7 @@
 import io.coriandermux.core.run.RunOutcome;
 import io.coriandermux.daemon.log.LogEvent;
 import io.coriandermux.daemon.log.RecentEvent;
+import io.coriandermux.daemon.run.ProcessContext;
 import io.coriandermux.daemon.settings.BatchEntrySettings;
 import io.coriandermux.daemon.settings.BatchGuardSettings;
 import io.coriandermux.daemon.settings.ProcessSettings;
@@ -109,6 +110,65 @@
 		}
 	}
 
+	// Guards against claims and answers that do not pass between the processes, so that
+	// no batch starts.
+	@Example
+	void claimsABatchAtTheGuardBeforeItStarts() throws Exception {
+		this.store.put(CONFIG_KEY, "1", 0, Optional.empty());
+		try (BatchEntryShell entry = entry("entry-1", this.store); BatchGuardShell guard = guard()) {
+			assertThat(guard.onHeartbeat(report())).isTrue();
+			await(() -> entry.gateway().isReady());
+			assertThat(submit(entry, "b1").get(30, TimeUnit.SECONDS).verdict()).isEqualTo(BatchVerdict.COMPLETED);
+			assertThat(count(entry.context(), "sent.ClaimBatch")).isEqualTo(1);
+			assertThat(count(guard.context(), "received.ClaimBatch")).isEqualTo(1);
+			assertThat(count(guard.context(), "sent.ClaimAnswer")).isEqualTo(1);
+			assertThat(count(entry.context(), "received.ClaimAnswer")).isEqualTo(1);
+		}
+	}
+
+	// Guards against links that a guard of the previous version closes, because it is
+	// sent a message that it does not know.
+	@Example
+	void claimsNothingAtAGuardOfThePreviousVersion() throws Exception {
+		this.store.put(CONFIG_KEY, "1", 0, Optional.empty());
+		try (BatchEntryShell entry = entry("entry-1", new StoreOfPreviousVersion(this.store));
+				BatchGuardShell guard = guard()) {
+			assertThat(guard.onHeartbeat(report())).isTrue();
+			await(() -> entry.gateway().isReady());
+			assertThat(submit(entry, "b1").get(30, TimeUnit.SECONDS).verdict()).isEqualTo(BatchVerdict.COMPLETED);
+			assertThat(count(guard.context(), "received.ClaimBatch")).isZero();
+			assertThat(entry.context().log().recentEvents())
+				.filteredOn((event) -> event.number() == LogEvent.LINK_UP.number())
+				.hasSize(1);
+		}
+	}
+
+	// Guards against a batch that stays with an entry that has ended.
+	@Example
+	void takesABatchOverFromAnEntryThatHasEnded() throws Exception {
+		this.store.put(CONFIG_KEY, "1", 0, Optional.empty());
+		CountDownLatch stopped = new CountDownLatch(1);
+		try (BatchEntryShell second = entry("entry-2", this.store);
+				BatchGuardShell guard = guard((listener) -> new EndlessEndpoint(listener, stopped))) {
+			assertThat(guard.onHeartbeat(report())).isTrue();
+			try (BatchEntryShell first = entry("entry-1", this.store)) {
+				await(() -> first.gateway().isReady() && second.gateway().isReady());
+				submit(first, "b1");
+				await(() -> count(guard.context(), "sent.ClaimAnswer") > 0);
+				// A claim that is younger cannot be that of a caller that has come back.
+				new CountDownLatch(1).await(1_300, TimeUnit.MILLISECONDS);
+			}
+			submit(second, "b1");
+			await(() -> count(second.context(), "received.TakeOverAnswer") > 0);
+			assertThat(count(guard.context(), "received.TakeOverBatch")).isEqualTo(1);
+			assertThat(stopped.await(60, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
+	private static long count(ProcessContext context, String messages) {
+		return context.metrics().registry().counter("messages." + messages).getCount();
+	}
+
 	// Guards against runs that continue while their entry can't notice that their caller
 	// has disconnected.
 	@Example
@@ -411,6 +471,63 @@
 
 	}
 
+	/**
+	 * A store whose announcements name the protocol of the previous version.
+	 */
+	private static final class StoreOfPreviousVersion implements Store {
+
+		private final MemoryStore delegate;
+
+		StoreOfPreviousVersion(MemoryStore delegate) {
+			this.delegate = delegate;
+		}
+
+		@Override
+		public KvSnapshot readPrefix(String prefix) {
+			return ofPreviousVersion(this.delegate.readPrefix(prefix));
+		}
+
+		@Override
+		public KvSnapshot watch(String prefix, KvSnapshot known, long waitMillis) {
+			return ofPreviousVersion(this.delegate.watch(prefix, known, waitMillis));
+		}
+
+		private static KvSnapshot ofPreviousVersion(KvSnapshot snapshot) {
+			return new KvSnapshot(snapshot.revision(),
+					snapshot.entries()
+						.stream()
+						.map((entry) -> new KvEntry(entry.key(),
+								entry.value().replace("\"protocol\":3", "\"protocol\":2"), entry.revision()))
+						.toList());
+		}
+
+		@Override
+		public long put(String key, String value, long expected, Optional<Long> lease) throws StoreException {
+			return this.delegate.put(key, value, expected, lease);
+		}
+
+		@Override
+		public long delete(String key, long expected) throws StoreException {
+			return this.delegate.delete(key, expected);
+		}
+
+		@Override
+		public long grantLease(long ttlMillis) {
+			return this.delegate.grantLease(ttlMillis);
+		}
+
+		@Override
+		public void renewLease(long lease) {
+			this.delegate.renewLease(lease);
+		}
+
+		@Override
+		public void close() {
+			this.delegate.close();
+		}
+
+	}
+
 	/**
 	 * A store that returns everything except the configuration.
 	 */
