Raise the token only for orders that can start or prolong a run

- A stop, or a poll that grants no lease, without an answer no longer raises the token.
Carried out late it starts and prolongs nothing.
While a run is being stopped no poll grants a lease, so its stops and polls no longer shut out one another.
- A stop that the endpoint refuses is repeated with the present token at once, but at most once in 20 ms.

A test expected a higher token after an unanswered poll at a moment at which the poll granted nothing. It now lets time pass, so that the poll grants a lease, and asserts that it does.

--- a/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
+++ b/core/src/main/java/io/coriandermux/core/lease/HeldRun.java
@@ -86,6 +86,8 @@
 
 	private long stopToken;
 
+	private boolean stopRefused;
+
 	private boolean startOverdue;
 
 	private boolean foundActive;
@@ -286,9 +288,22 @@
 			this.firstConclusivePoll = Long.MAX_VALUE;
 		}
 		this.state = State.STOPPING;
+		this.stopRefused = false;
 		this.lastOrderNanos = nowNanos;
 	}
 
+	/**
+	 * Returns whether the endpoint has refused the last stop order.
+	 * @return whether no stop order is on its way
+	 */
+	boolean isStopRefused() {
+		return this.stopRefused;
+	}
+
+	void markStopRefused() {
+		this.stopRefused = true;
+	}
+
 	/**
 	 * Marks the run as one that has to be stopped at a new incarnation of the endpoint,
 	 * which does not know about earlier stop orders.
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -414,12 +414,13 @@
 		this.nowNanos = now.nanos();
 		recordAnswer(clockMillis, now);
 		Optional<HeldRun> held = this.runs.find(run);
+		// The token does not rise for a stop without an answer. Carried out late, it
+		// starts
+		// and prolongs nothing, and a higher token would make the endpoint refuse the
+		// other stops that are on their way.
 		if (result == OrderResult.FENCED) {
 			held.ifPresent((stopped) -> this.token.onRefused(stopped.stopToken()));
 		}
-		else if (result == OrderResult.UNANSWERED) {
-			held.ifPresent((stopped) -> this.token.shutOut(stopped.stopToken(), now.nanos()));
-		}
 		this.runNotices.onStopAnswered(run, result, held.orElse(null), now.nanos());
 		if (held.isPresent() && result == OrderResult.ACCEPTED) {
 			held.get().confirmStop(this.polls.nextNumber());
@@ -429,6 +430,9 @@
 				&& !held.get().mayStartLate(now.nanos())) {
 			this.runs.end(held.get(), held.get().stopOutcome(), EndProof.UNREACHABLE, now.nanos());
 		}
+		else if (held.isPresent() && result == OrderResult.FENCED) {
+			this.runs.repeatRefusedStop(held.get(), now.nanos());
+		}
 	}
 
 	/**
@@ -445,7 +449,7 @@
 		if (result == OrderResult.FENCED) {
 			this.token.onRefused(this.polls.tokenOf(poll));
 		}
-		else if (result == OrderResult.UNANSWERED) {
+		else if (result == OrderResult.UNANSWERED && this.polls.isGranting(poll.number())) {
 			this.token.shutOut(this.polls.tokenOf(poll), this.nowNanos);
 		}
 		if (result == OrderResult.OTHER_LIFE && !this.settled && poll.number() >= this.firstPoll) {
@@ -630,7 +634,7 @@
 			.lastSentNanos() >= (this.settings.pollMillis() + this.settings.callMillis()) * NANOS_PER_MILLI;
 		if (needsPoll() && (!this.polls.isPollPending() || overdue)
 				&& now.nanos() - this.polls.lastSentNanos() >= callNanos / 2) {
-			if (this.polls.isPollPending()) {
+			if (this.polls.isPollPending() && this.polls.isGranting(this.polls.lastNumber())) {
 				this.token.shutOut(this.polls.lastToken(), this.nowNanos);
 			}
 			poll(now, this.settled ? this.settings.pollMillis() : 0, true);
@@ -745,7 +749,11 @@
 		if (until.isPresent()) {
 			this.runNotices.onLeaseGranted(this.runs.list(), now.nanos());
 		}
-		this.orders.poll(terms(until), this.polls.nextPoll(waitMillis, this.token.value(), now.nanos()));
+		Poll poll = this.polls.nextPoll(waitMillis, this.token.value(), now.nanos());
+		if (until.isPresent()) {
+			this.polls.markGranting(poll);
+		}
+		this.orders.poll(terms(until), poll);
 	}
 
 	// Before the endpoint has reported, its incarnation is not known. It carries out late
--- a/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
+++ b/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
@@ -2,7 +2,9 @@
 
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Tracks which polls were sent and answered, and which ends of runs were processed and
@@ -24,6 +26,9 @@
 	/** The fencing tokens by the number of the first poll that was sent with each. */
 	private final NavigableMap<Long, Long> tokens = new TreeMap<>();
 
+	/** Numbers of the last polls that renewed the lease. */
+	private final NavigableSet<Long> granting = new TreeSet<>();
+
 	private long highestReceivedEnd;
 
 	private long lastAcknowledgedEnd;
@@ -61,6 +66,25 @@
 		return new Poll(nextPoll(0, token, nowNanos).number(), 0, 0);
 	}
 
+	/**
+	 * Records that a poll renews the lease, so that it must not be carried out late.
+	 * @param poll the poll
+	 */
+	void markGranting(Poll poll) {
+		this.granting.add(poll.number());
+		if (this.granting.size() > MAX_TOKENS) {
+			this.granting.pollFirst();
+		}
+	}
+
+	boolean isGranting(long number) {
+		return this.granting.contains(number);
+	}
+
+	long lastNumber() {
+		return this.lastSent;
+	}
+
 	long lastToken() {
 		return this.lastToken;
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -24,6 +24,12 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
+	/**
+	 * Stop orders of a loaded guard were refused up to 1,400 times a second, so they are
+	 * not repeated more often than once per tick.
+	 */
+	private static final long MIN_STOP_INTERVAL_MILLIS = 20;
+
 	private final LeaseSettings settings;
 
 	private final EndpointOrders orders;
@@ -194,9 +200,23 @@
 		sendStop(held, outcome, nowNanos);
 	}
 
+	/**
+	 * Repeats a stop order that the endpoint has refused because of its token. Stops are
+	 * repeated at most once in 20 ms.
+	 * @param held the run
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void repeatRefusedStop(HeldRun held, long nowNanos) {
+		if (held.state() == HeldRun.State.STOPPING && held.firstConclusivePoll() == Long.MAX_VALUE) {
+			held.markStopRefused();
+			sendStop(held, held.stopOutcome(), nowNanos);
+		}
+	}
+
 	private void sendStop(HeldRun held, RunOutcome outcome, long nowNanos) {
+		long intervalMillis = held.isStopRefused() ? MIN_STOP_INTERVAL_MILLIS : this.settings.callMillis();
 		if (held.state() == HeldRun.State.STOPPING
-				&& nowNanos - held.lastOrderNanos() < this.settings.callMillis() * NANOS_PER_MILLI) {
+				&& nowNanos - held.lastOrderNanos() < intervalMillis * NANOS_PER_MILLI) {
 			return;
 		}
 		held.markStopping(outcome, nowNanos);
--- a/core/src/test/java/io/coriandermux/core/lease/LateOrderTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LateOrderTests.java
@@ -85,9 +85,12 @@
 		RunId other = LeaseManagerHarness.run("other", 1);
 		this.harness.requestStart(LATE);
 		this.harness.requestStart(other);
+		this.harness.advance(50);
 		this.harness.answerStart(LATE, OrderResult.UNANSWERED);
+		this.harness.advance(10);
 		this.harness.answerStart(other, OrderResult.UNANSWERED);
 		assertThat(lastLease().token()).isEqualTo(8);
+		assertThat(lastLease().expiresAtMillis()).isPresent();
 		failLastPoll(OrderResult.UNANSWERED);
 		this.harness.advance(100);
 		assertThat(lastLease().token()).isEqualTo(9);
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerHarness.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerHarness.java
@@ -46,6 +46,8 @@
 
 	final List<RunId> stops = new ArrayList<>();
 
+	final List<Long> stopTokens = new ArrayList<>();
+
 	final List<Poll> polls = new ArrayList<>();
 
 	final List<LeaseTerms> leases = new ArrayList<>();
@@ -182,6 +184,7 @@
 	@Override
 	public void stop(LeaseTerms lease, RunId run) {
 		this.stops.add(run);
+		this.stopTokens.add(lease.token());
 	}
 
 	@Override
