--- a/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
+++ b/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
@@ -73,7 +73,10 @@
 	/** The endpoint has deregistered. */
 	ENDPOINT_LEFT(2504),
 
-	/** A heartbeat of the endpoint was ignored because a newer one had arrived before. */
+	/**
+	 * A heartbeat of the endpoint was ignored because a newer one had arrived before, or
+	 * because the incarnation that it names did not answer.
+	 */
 	ENDPOINT_REPORT_IGNORED(2505),
 
 	/** The endpoint has not responded to an order. */
@@ -137,7 +140,10 @@
 	/** A configuration has come into force. */
 	TABLES_IN_FORCE(2609),
 
-	/** A guard received an order to start a run and forwarded it to its endpoint. */
+	/**
+	 * A guard received an order to start a run and forwarded it to its endpoint, or
+	 * repeats it there.
+	 */
 	RUN_ORDERED(2701),
 
 	/** The endpoint has answered a start order, or the call has timed out. */
