--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -63,15 +63,20 @@
 	}
 
 	void onGuardsListed(Set<GuardId> listed, Moment now) {
+		List<GuardId> usable = this.guards.connected();
 		this.guards.onListed(listed, now.nanos());
+		this.guards.connected().stream().filter((guard) -> !usable.contains(guard)).forEach(this::onUsable);
 		evaluateAll(now);
 	}
 
 	void onGuardConnected(GuardId guard) {
 		this.guards.onConnected(guard);
-		if (!this.guards.isConnected(guard)) {
-			return;
+		if (this.guards.isConnected(guard)) {
+			onUsable(guard);
 		}
+	}
+
+	private void onUsable(GuardId guard) {
 		for (Claim claim : new ArrayList<>(this.claims.values())) {
 			if (claim.state == State.TAKING_OVER || claim.takenOver) {
 				claim.pending.add(guard);
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -734,7 +734,7 @@
 	}
 
 	private void answer(Batch batch, BatchAnswer decided, Moment now) {
-		BatchAnswer answer = withoutFalseRefusal(batch.id(), decided);
+		BatchAnswer answer = withoutFalseRefusal(batch, decided);
 		this.notices.send(NoticeKind.BATCH_ENDED, batch.id().value(), answer.verdict() + " after "
 				+ ageMillis(batch, now) + " ms" + (answer.reason().isEmpty() ? "" : ": " + answer.reason()));
 		batch.callers().forEach((caller) -> {
@@ -789,11 +789,22 @@
 				: withoutFalseRefusal(request.id(), answer));
 	}
 
+	// Without the answers to its claim it is not known whether another entry has run the
+	// batch.
+	private BatchAnswer withoutFalseRefusal(Batch batch, BatchAnswer answer) {
+		boolean claimed = this.claims.isGranted(batch.id());
+		return (isRefusal(answer) && !claimed) ? BatchAnswer.of(BatchVerdict.UNFINISHED, answer.reason())
+				: withoutFalseRefusal(batch.id(), answer);
+	}
+
 	// A batch that another entry has announced may have run there.
 	private BatchAnswer withoutFalseRefusal(BatchId id, BatchAnswer answer) {
-		boolean refused = answer.verdict() == BatchVerdict.OVERLOADED || answer.verdict() == BatchVerdict.UNAVAILABLE;
-		return (refused && this.handover.isHeldElsewhere(id)) ? BatchAnswer.of(BatchVerdict.UNFINISHED, answer.reason())
-				: answer;
+		return (isRefusal(answer) && this.handover.isHeldElsewhere(id))
+				? BatchAnswer.of(BatchVerdict.UNFINISHED, answer.reason()) : answer;
+	}
+
+	private static boolean isRefusal(BatchAnswer answer) {
+		return answer.verdict() == BatchVerdict.OVERLOADED || answer.verdict() == BatchVerdict.UNAVAILABLE;
 	}
 
 	private void answerUnfinished(CallerRequest request, String reason, Moment now) {
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -21,6 +21,7 @@
 import io.coriandermux.core.message.TakeOverBatch;
 import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.BatchId;
+import io.coriandermux.core.run.ResourceAmounts;
 import io.coriandermux.core.run.RunOutcome;
 import net.jqwik.api.Example;
 
@@ -180,6 +181,42 @@
 		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
 	}
 
+	// Guards against the answer "not run" while the guards that may know of another entry
+	// do not respond.
+	@Example
+	void refusesNoBatchAsNotRunWhoseClaimIsNotAnswered() {
+		CallerRef caller = this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		this.fixture.advance(2_990);
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	@Example
+	void refusesABatchAsNotRunWhoseClaimWasGranted() {
+		Arrays.stream(GUARDS)
+			.forEach((guard) -> this.fixture.reportLoad(guard, DispatcherFixture.CAPACITY, new ResourceAmounts(0, 0, 0),
+					Set.of(), 0));
+		CallerRef caller = this.fixture.submit("b1", 1);
+		asked().forEach(this::answerFree);
+		this.fixture.advance(2_990);
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.OVERLOADED);
+	}
+
+	// Guards against a claim that waits for a guard that was connected before it was
+	// listed.
+	@Example
+	void asksAGuardThatIsListedAfterItsLinkWasMade() {
+		this.fixture.dispatcher.onGuardsListed(ids("g1", "g2"), this.fixture.now());
+		this.fixture.submit("b1", 1);
+		asked().forEach((guard) -> answer(guard, new ClaimAnswer(BATCH, false, Optional.empty())));
+		assertThat(this.fixture.starts()).hasSize(1);
+		this.fixture.submit("b2", 1);
+		List<GuardId> keepers = asked().stream().skip(2).toList();
+		this.fixture.dispatcher.onGuardsListed(ids("g1", "g2", "g3"), this.fixture.now());
+		assertThat(asked().stream().skip(2).toList()).containsAll(keepers).contains(new GuardId("g3"));
+	}
+
 	@Example
 	void givesABatchUpIfAGuardRefusesItsStartBecauseOfAClaim() {
 		CallerRef caller = this.fixture.submit("b1", 1);
