Start nothing while most keepers of a batch are away

Found by the review. Two sides of a cut each took the guards of the other side for lost after 1.7 s and started the batch: the model test aBatchRunsOnOneSideOnlyWhileTheSiteIsCut had TWICE in 33 of 72 sequences. Such a batch is answered as unfinished. Also found by the review: a batch that was accepted before the guards were listed started without a claim; the answer to an earlier claim counted for the next one; a run that a take-over had stopped was retried; a guard without an endpoint never answered a take-over; and claims of batches with long waits were forgotten after a minute.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -38,12 +38,16 @@
 	 */
 	private static final long LATE_START_END_NANOS = 14_000 * NANOS_PER_MILLI;
 
+	/**
+	 * A link that is reset is established again within this time. A guard that is away
+	 * for longer is down or cut off, mostly for seconds.
+	 */
+	private static final long MAX_LINK_OUTAGE_NANOS = 500 * NANOS_PER_MILLI;
+
 	private final GuardChannel channel;
 
 	private final ClaimListener listener;
 
-	private final DispatchSettings settings;
-
 	private final ClaimGuards guards = new ClaimGuards();
 
 	private final Map<BatchId, Claim> claims = new LinkedHashMap<>();
@@ -53,12 +57,10 @@
 	/**
 	 * Creates an instance without guards.
 	 * @param channel sends messages to guards
-	 * @param settings timeouts
 	 * @param listener receives the results
 	 */
-	BatchClaims(GuardChannel channel, DispatchSettings settings, ClaimListener listener) {
+	BatchClaims(GuardChannel channel, ClaimListener listener) {
 		this.channel = channel;
-		this.settings = settings;
 		this.listener = listener;
 	}
 
@@ -66,9 +68,22 @@
 		List<GuardId> usable = this.guards.connected();
 		this.guards.onListed(listed, now.nanos());
 		this.guards.connected().stream().filter((guard) -> !usable.contains(guard)).forEach(this::onUsable);
+		if (!this.guards.isEmpty()) {
+			claimUnclaimed(now);
+		}
 		evaluateAll(now);
 	}
 
+	// The list of guards is not known yet when an entry starts.
+	private void claimUnclaimed(Moment now) {
+		for (Claim claim : new ArrayList<>(this.claims.values())) {
+			if (claim.state == State.UNCLAIMED) {
+				claim.keepers = this.guards.keepersOf(claim.batch);
+				ask(claim, now);
+			}
+		}
+	}
+
 	void onGuardConnected(GuardId guard) {
 		this.guards.onConnected(guard);
 		if (this.guards.isConnected(guard)) {
@@ -119,11 +134,17 @@
 				this.guards.keepersOf(batch));
 		this.claims.put(batch, claim);
 		if (this.guards.isEmpty()) {
-			grant(claim);
+			claim.state = State.UNCLAIMED;
+			this.listener.onGranted(batch);
 			return;
 		}
+		ask(claim, now);
+	}
+
+	private void ask(Claim claim, Moment now) {
+		claim.state = State.CLAIMING;
 		// The entry that has released the batch may have taken it over at all guards.
-		List<GuardId> asked = replaced.isPresent() ? this.guards.connected() : claim.keepers;
+		List<GuardId> asked = claim.replaced.isPresent() ? this.guards.connected() : claim.keepers;
 		asked.stream().filter(this.guards::isConnected).forEach((guard) -> ask(claim, guard));
 		evaluate(claim, now);
 	}
@@ -158,7 +179,8 @@
 	 */
 	boolean isGranted(BatchId batch) {
 		Claim claim = this.claims.get(batch);
-		return claim != null && claim.state == State.GRANTED;
+		return claim != null
+				&& (claim.state == State.GRANTED || (claim.state == State.UNCLAIMED && this.guards.isEmpty()));
 	}
 
 	void forget(BatchId batch) {
@@ -168,7 +190,7 @@
 	void onAnswer(GuardId guard, ClaimAnswer answer, Moment now) {
 		this.guards.recordCompleteness(guard, answer.complete());
 		Claim claim = this.claims.get(answer.batch());
-		if (claim == null || !claim.isClaiming() || !claim.asked.contains(guard)) {
+		if (claim == null || claim.number != answer.number() || !claim.isClaiming() || !claim.asked.contains(guard)) {
 			return;
 		}
 		if (answer.holder().isPresent()) {
@@ -217,6 +239,9 @@
 			claim.takenOver = claim.state == State.TAKING_OVER;
 			grant(claim);
 		}
+		else if (isUnreachable(claim, now)) {
+			this.listener.onUnreachable(claim.batch, now);
+		}
 	}
 
 	private void grant(Claim claim) {
@@ -231,21 +256,26 @@
 	private boolean isDecided(Claim claim, Moment now) {
 		return switch (claim.state) {
 			case CLAIMING -> claim.hasMajority();
-			case CLAIMING_EVERYWHERE -> claim.hasMajority() || isFreeEverywhere(claim, now);
+			case CLAIMING_EVERYWHERE -> claim.hasMajority() || isFreeEverywhere(claim);
 			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
 					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
-			case GRANTED -> false;
+			case UNCLAIMED, GRANTED -> false;
 		};
 	}
 
-	// The runs of a lost guard have ended after the time in which it and its endpoint
-	// notice the loss.
-	private boolean isFreeEverywhere(Claim claim, Moment now) {
-		long endNanos = (this.settings.guardTimeoutMillis() + this.settings.runEndMillis()) * NANOS_PER_MILLI;
-		List<GuardId> connected = this.guards.connected();
-		return !connected.isEmpty() && claim.free.keySet().containsAll(connected) && claim.keepers.stream()
-			.allMatch(
-					(guard) -> this.guards.isConnected(guard) || this.guards.isAbsentFor(guard, endNanos, now.nanos()));
+	// Keepers that may have forgotten claims count only together with all other guards,
+	// which know the runs. Unreachable ones never do: this entry may be cut off from them
+	// together with one that has the batch.
+	private boolean isFreeEverywhere(Claim claim) {
+		return claim.keepers.stream().filter(this.guards::isConnected).count() >= claim.majority()
+				&& claim.free.keySet().containsAll(this.guards.connected());
+	}
+
+	private boolean isUnreachable(Claim claim, Moment now) {
+		long reachable = claim.keepers.stream()
+			.filter((guard) -> !this.guards.isAbsentFor(guard, MAX_LINK_OUTAGE_NANOS, now.nanos()))
+			.count();
+		return claim.isClaiming() && reachable < claim.majority();
 	}
 
 	private void ask(Claim claim, GuardId guard) {
@@ -260,6 +290,9 @@
 	/** State of a claim. */
 	private enum State {
 
+		/** No guard is listed that knows claims, so runs may start while none is. */
+		UNCLAIMED,
+
 		/** The guards that keep the claims of the batch are asked. */
 		CLAIMING,
 
@@ -282,7 +315,7 @@
 
 		private final Optional<BatchClaim> replaced;
 
-		private final List<GuardId> keepers;
+		private List<GuardId> keepers;
 
 		private final Set<GuardId> asked = new LinkedHashSet<>();
 
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -128,7 +128,7 @@
 		this.timesCalculator = new BatchTimesCalculator(settings, this.endpoints, this.runTimes);
 		this.shutdown = new DispatchShutdown(settings);
 		this.handover = new BatchHandover(channels, this.batches::containsKey);
-		this.claims = new BatchClaims(this.guards, settings, new ClaimResults());
+		this.claims = new BatchClaims(this.guards, new ClaimResults());
 		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(),
 				(batch, time) -> this.claims.isGranted(batch.id()) && isWithinTime(batch, time));
 	}
@@ -845,7 +845,8 @@
 			String reason = "entry " + entry.entry() + " claimed the batch " + holder.ageMillis() + " ms ago";
 			BatchDispatcher.this.notices.send(NoticeKind.BATCH_CLAIM_DENIED, id.value(),
 					reason + ", incarnation " + entry.incarnation().value());
-			if (!own && !batch.isStarted() && holder.ageMillis() < MIN_RETURN_MILLIS) {
+			boolean early = !own && !batch.isStarted() && holder.ageMillis() < MIN_RETURN_MILLIS;
+			if (early || batch.hasPlacedTask()) {
 				giveUp(batch, reason, now);
 			}
 			else if (own || !deferTo(batch, holder.claim())) {
@@ -862,6 +863,14 @@
 			}
 		}
 
+		@Override
+		public void onUnreachable(BatchId id, Moment now) {
+			Batch batch = BatchDispatcher.this.batches.get(id);
+			if (batch != null) {
+				giveUp(batch, "most guards that keep its claims are away", now);
+			}
+		}
+
 		private boolean deferTo(Batch batch, BatchClaim claim) {
 			List<CallerRequest> requests = batch.waitingRequests();
 			if (!BatchDispatcher.this.handover.deferTo(requests, claim)) {
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimGuards.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimGuards.java
@@ -119,14 +119,14 @@
 
 	boolean isAbsentFor(GuardId guard, long nanos, long nowNanos) {
 		Long since = this.absent.get(guard);
-		return !isConnected(guard) && (since == null || nowNanos - since >= nanos);
+		return since != null && nowNanos - since >= nanos;
 	}
 
 	/**
 	 * Returns the guards that keep the claims of a batch. Entries with the same list
 	 * choose the same guards, and each guard that differs changes at most one of them.
 	 * @param batch the batch
-	 * @return the guards, fewer than three if not enough are known
+	 * @return three guards, or one if fewer than three are known
 	 */
 	List<GuardId> keepersOf(BatchId batch) {
 		Set<GuardId> known = new LinkedHashSet<>(this.listed);
@@ -134,7 +134,8 @@
 		return known.stream()
 			.sorted(Comparator.comparingLong((GuardId guard) -> HashMixer.hash(batch.value(), guard.value()))
 				.thenComparing(GuardId::value))
-			.limit(KEEPERS)
+			// Of two keepers both would have to answer.
+			.limit((known.size() < KEEPERS) ? 1 : KEEPERS)
 			.toList();
 	}
 
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimListener.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimListener.java
@@ -32,4 +32,12 @@
 	 */
 	void onOvertaken(BatchId batch, GuardId guard, Moment now);
 
+	/**
+	 * Reports that most guards that keep the claims of a batch are away, so that another
+	 * entry may have it.
+	 * @param batch the batch
+	 * @param now the current time
+	 */
+	void onUnreachable(BatchId batch, Moment now);
+
 }
--- a/core/src/main/java/io/coriandermux/core/lease/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/lease/BatchClaims.java
@@ -38,7 +38,7 @@
 	static final long COMPLETE_AFTER_MILLIS = 15_000;
 
 	/** Limits the time for which a message of an entry occupies memory. */
-	static final long MAX_KEEP_MILLIS = 60_000;
+	static final long MAX_KEEP_MILLIS = 600_000;
 
 	/**
 	 * The claims of 14 s if this guard keeps those of all batches of a large site, 1,100
@@ -101,7 +101,7 @@
 			});
 			complete = complete && claim.isPresent();
 		}
-		this.entries.send(sender.entry(), new ClaimAnswer(batch, complete, holder));
+		this.entries.send(sender.entry(), new ClaimAnswer(batch, message.number(), complete, holder));
 	}
 
 	/**
@@ -133,7 +133,7 @@
 			denyOvertaken(claim, sender);
 			claim.takeOver(rank, nowNanos, keepNanos(message.keepMillis()));
 		}
-		others.forEach((held) -> this.runs.stop(held, RunOutcome.STOPPED, StopCause.TAKEN_OVER, nowNanos));
+		others.forEach((held) -> this.runs.stop(held, RunOutcome.CLAIMED, StopCause.TAKEN_OVER, nowNanos));
 		this.pendingTakeOvers.put(batch, claim);
 		answerTakeOvers(nowNanos);
 	}
@@ -151,11 +151,12 @@
 
 	/**
 	 * Grants the take-overs of batches of which no run of another entry is active or can
-	 * start.
+	 * start. While the endpoint does not answer, the guard is not settled, but the runs
+	 * of previous guards have ended when it has run for long enough.
 	 * @param nowNanos the current time on the monotonic clock
 	 */
 	void answerTakeOvers(long nowNanos) {
-		if (!this.settled.getAsBoolean() || this.runs.hasUnknownRun()) {
+		if (this.runs.hasUnknownRun() || !(this.settled.getAsBoolean() || isComplete(nowNanos))) {
 			return;
 		}
 		List<ClaimRecord> ready = this.pendingTakeOvers.values()
--- a/core/src/main/java/io/coriandermux/core/run/RunOutcome.java
+++ b/core/src/main/java/io/coriandermux/core/run/RunOutcome.java
@@ -39,7 +39,10 @@
 	/** The endpoint was lost together with its runs. */
 	ENDPOINT_LOST,
 
-	/** Another entry has claimed the batch of the task, so the run was not started. */
+	/**
+	 * Another entry has claimed the batch of the task, so the run was not started or was
+	 * stopped.
+	 */
 	CLAIMED
 
 }
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
@@ -250,6 +250,32 @@
 		}
 	}
 
+	// Guards against two sides of a cut that both take the guards of the other side for
+	// lost, and both start the batch.
+	@Example
+	void aBatchRunsOnOneSideOnlyWhileTheSiteIsCut() {
+		for (long cutMillis = 3_000; cutMillis <= 9_000; cutMillis += 3_000) {
+			for (int job = 0; job < 24; job++) {
+				ClusterModel cluster = new ClusterModel(1, 2, 5, 3);
+				cut(cluster, cutMillis);
+				cluster.advance(job * 20L);
+				cluster.resubmitTo(cluster.entry(1));
+				cluster.submit(cluster.entry(0), JOB + job, 9_000);
+				cluster.advance(100);
+				cluster.callers().leaveHalfOpen(cluster.entry(0));
+				cluster.advance(12_000);
+				assertThat(cluster.violations()).as("job " + job + ", cut for " + cutMillis + " ms").isEmpty();
+			}
+		}
+	}
+
+	private static void cut(ClusterModel cluster, long millis) {
+		for (int guard = 0; guard < cluster.guards().size(); guard++) {
+			cluster.link(cluster.entry((guard < 3) ? 1 : 0), cluster.guards().get(guard)).reset(millis);
+		}
+		cluster.entryLinks().forEach((link) -> link.reset(millis));
+	}
+
 	private static void assertJobsRunOnce(String circumstances, Consumer<ClusterModel> fault) {
 		ClusterModel cluster = new ClusterModel(1, 2, 3, 3);
 		for (int i = 0; i < 6; i++) {
--- a/wire/src/main/java/io/coriandermux/wire/RunMessages.java
+++ b/wire/src/main/java/io/coriandermux/wire/RunMessages.java
@@ -83,7 +83,7 @@
 
 	private static final int CLAIM_FIELDS = 4;
 
-	private static final int CLAIM_ANSWER_FIELDS = 3;
+	private static final int CLAIM_ANSWER_FIELDS = 4;
 
 	private static final int REPLACED_FIELDS = 3;
 
@@ -188,6 +188,7 @@
 
 	private static void writeClaimAnswer(FieldWriter out, ClaimAnswer answer) throws IOException, CodecException {
 		out.name(answer.batch().value());
+		out.number(answer.number());
 		out.flag(answer.complete());
 		out.list(answer.holder().stream().toList(), 1, (element, holder) -> {
 			element.arrayHeader(HOLDER_FIELDS);
@@ -197,7 +198,7 @@
 	}
 
 	private static ClaimAnswer readClaimAnswer(FieldReader in) throws IOException, CodecException {
-		return new ClaimAnswer(new BatchId(in.name()), in.flag(), in.list(1, (element) -> {
+		return new ClaimAnswer(new BatchId(in.name()), in.number(), in.flag(), in.list(1, (element) -> {
 			element.arrayHeader(HOLDER_FIELDS, "a holder");
 			return new BatchHolder(readClaimOf(element), element.number());
 		}).stream().findFirst());
