Go on with a take-over whose batch has been answered

The take-over goes on now, a returning request waits for it, and the entry confirms no release before it has ended.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -130,6 +130,10 @@
 	 * @param now the current time
 	 */
 	void begin(BatchId batch, long waitMillis, Optional<BatchClaim> replaced, Moment now) {
+		if (isTakingOver(batch)) {
+			this.claims.get(batch).abandoned = false;
+			return;
+		}
 		Claim claim = new Claim(batch, nextNumber(now), waitMillis + KEEP_AFTER_MILLIS, replaced,
 				this.guards.keepersOf(batch));
 		this.claims.put(batch, claim);
@@ -183,8 +187,28 @@
 				&& (claim.state == State.GRANTED || (claim.state == State.UNCLAIMED && this.guards.isEmpty()));
 	}
 
-	void forget(BatchId batch) {
-		this.claims.remove(batch);
+	/**
+	 * Returns whether a take-over of a batch has not ended. It goes on when the batch has
+	 * been answered: runs of the other entry may still be active.
+	 * @param batch the batch
+	 * @return whether no entry may start the batch
+	 */
+	boolean isTakingOver(BatchId batch) {
+		Claim claim = this.claims.get(batch);
+		return claim != null && claim.state == State.TAKING_OVER;
+	}
+
+	/**
+	 * Records that a batch has ended at this entry.
+	 * @param batch the batch
+	 */
+	void onEnded(BatchId batch) {
+		if (isTakingOver(batch)) {
+			this.claims.get(batch).abandoned = true;
+		}
+		else {
+			this.claims.remove(batch);
+		}
 	}
 
 	void onAnswer(GuardId guard, ClaimAnswer answer, Moment now) {
@@ -207,6 +231,7 @@
 			return;
 		}
 		if (!answer.granted()) {
+			this.claims.remove(claim.batch);
 			this.listener.onOvertaken(claim.batch, guard, now);
 			return;
 		}
@@ -237,6 +262,11 @@
 		}
 		if (isDecided(claim, now)) {
 			claim.takenOver = claim.state == State.TAKING_OVER;
+			if (claim.abandoned) {
+				this.claims.remove(claim.batch);
+				this.listener.onTakeOverEnded(claim.batch, now);
+				return;
+			}
 			grant(claim);
 		}
 		else if (isUnreachable(claim, now)) {
@@ -331,6 +361,9 @@
 
 		private boolean takenOver;
 
+		/** Whether the batch has ended at this entry before it was taken over. */
+		private boolean abandoned;
+
 		Claim(BatchId batch, long number, long keepMillis, Optional<BatchClaim> replaced, List<GuardId> keepers) {
 			this.batch = batch;
 			this.number = number;
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -127,7 +127,7 @@
 		this.notices = new DispatchNotices(channels.notices());
 		this.timesCalculator = new BatchTimesCalculator(settings, this.endpoints, this.runTimes);
 		this.shutdown = new DispatchShutdown(settings);
-		this.handover = new BatchHandover(channels, this.batches::containsKey);
+		this.handover = new BatchHandover(channels, this::isHeldHere);
 		this.claims = new BatchClaims(this.guards, new ClaimResults());
 		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(),
 				(batch, time) -> this.claims.isGranted(batch.id()) && isWithinTime(batch, time));
@@ -244,7 +244,7 @@
 		}
 		this.lastSequence++;
 		Batch batch = new Batch(request, route, this.lastSequence, this.timesCalculator.compute(route, accepted, now));
-		if (accepted.mayHaveRun()) {
+		if (accepted.mayHaveRun() || this.claims.isTakingOver(batch.id())) {
 			batch.markStarted();
 		}
 		batch.addRequest(accepted);
@@ -767,7 +767,7 @@
 			return;
 		}
 		this.batches.remove(batch.id());
-		this.claims.forget(batch.id());
+		this.claims.onEnded(batch.id());
 		serveReadyRequests(now);
 		this.handover.confirmEnd(batch.id());
 	}
@@ -817,6 +817,10 @@
 		return (now.nanos() - batch.arrivedNanos()) / NANOS_PER_MILLI;
 	}
 
+	private boolean isHeldHere(BatchId id) {
+		return this.batches.containsKey(id) || this.claims.isTakingOver(id);
+	}
+
 	private void giveUp(Batch batch, String reason, Moment now) {
 		if (!batch.isAnswered()) {
 			answer(batch, BatchAnswer.of(BatchVerdict.UNFINISHED, reason), now);
@@ -861,6 +865,15 @@
 			if (batch != null) {
 				giveUp(batch, "another entry has taken the batch over at " + guard, now);
 			}
+			else {
+				onTakeOverEnded(id, now);
+			}
+		}
+
+		@Override
+		public void onTakeOverEnded(BatchId id, Moment now) {
+			serveReadyRequests(now);
+			BatchDispatcher.this.handover.confirmEnd(id);
 		}
 
 		@Override
@@ -879,7 +892,7 @@
 			requests.forEach((request) -> BatchDispatcher.this.byCaller.remove(request.caller()));
 			BatchDispatcher.this.placer.remove(batch);
 			BatchDispatcher.this.batches.remove(batch.id());
-			BatchDispatcher.this.claims.forget(batch.id());
+			BatchDispatcher.this.claims.onEnded(batch.id());
 			return true;
 		}
 
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimListener.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimListener.java
@@ -40,4 +40,12 @@
 	 */
 	void onUnreachable(BatchId batch, Moment now);
 
+	/**
+	 * Reports that the take-over of a batch has ended that has ended at this entry
+	 * before.
+	 * @param batch the batch
+	 * @param now the current time
+	 */
+	void onTakeOverEnded(BatchId batch, Moment now);
+
 }
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -227,6 +227,45 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against a second run when the caller returns before the take-over has ended:
+	// the guards name this entry as the one that has the batch.
+	@Example
+	void doesNotStartABatchWhoseTakeOverHasNotEndedWhenItsCallerReturns() {
+		this.fixture.dispatcher.onGuardLost(new GuardId("g5"), DispatcherFixture.INCARNATION, this.fixture.now());
+		this.fixture.submit("b1", 1);
+		answerHeld(asked().get(0), PEER_CLAIM, 1_300);
+		assertThat(takeOvers()).hasSize(4);
+		this.fixture.advance(4_300);
+		CallerRef caller = this.fixture.submit("b1", 1);
+		List.of("g1", "g2", "g3", "g4").forEach((guard) -> answerFree(new GuardId(guard)));
+		assertThat(this.fixture.starts()).isEmpty();
+		List.of("g1", "g2", "g3", "g4").forEach((guard) -> answerTakeOver(guard, true));
+		this.fixture.advance(2_990);
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+		this.fixture.advance(7_000);
+		this.fixture.submit("b1", 1);
+		this.fixture.dispatcher.placeIfDue(this.fixture.now());
+		asked().forEach(this::answerFree);
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against a third entry that starts a batch while its take-over by this one
+	// has
+	// not ended.
+	@Example
+	void confirmsTheReleaseOfABatchOnlyAfterItsTakeOverHasEnded() {
+		this.fixture.dispatcher.onEntryConnected(PEER, FIRST, this.fixture.now());
+		this.fixture.submit("b1", 1);
+		answerHeld(asked().get(0), new BatchClaim(new EntryIncarnation(new EntryId("e3"), FIRST), 7), 1_300);
+		receiveFromPeer(new ReleaseBatch(BATCH));
+		this.fixture.advance(200);
+		DispatcherFixture.PeerMessage ended = new DispatcherFixture.PeerMessage(PEER,
+				new HeldBatches(false, List.of(BATCH), List.of()));
+		assertThat(this.fixture.peerMessages).doesNotContain(ended);
+		Arrays.stream(GUARDS).forEach((guard) -> answerTakeOver(guard, true));
+		assertThat(this.fixture.peerMessages).contains(ended);
+	}
+
 	// Guards against guards that have restarted and forgotten the claims.
 	@Example
 	void asksAllGuardsIfTwoOfThreeMayHaveForgottenClaims() {
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
@@ -269,6 +269,54 @@
 		}
 	}
 
+	// Guards against a take-over that is forgotten when its caller gives up: the caller
+	// returns, and the late start order of the dead entry has not been carried out yet.
+	@Example
+	void aTakeOverGoesOnWhenItsCallerHasGivenUp() {
+		for (int target = 1; target < 3; target++) {
+			for (long lateMillis = 4_000; lateMillis <= 8_000; lateMillis += 1_000) {
+				for (int job = 0; job < 4; job++) {
+					OrderFate late = OrderFate.lateBy(lateMillis, true);
+					ClusterModel cluster = new ClusterModel(1, 3, 5, 3);
+					cluster.callers().setWait(SHORT_WAIT_MILLIS, () -> 0);
+					cluster.setFatesFromNextStart((kind, run) -> (kind == OrderKind.START) ? late : OrderFate.NORMAL);
+					cluster.resubmitTo(cluster.entry(1));
+					cluster.submit(cluster.entry(0), JOB + job, 1_200);
+					cluster.advance(10);
+					cluster.affected().kill();
+					cluster.clock().afterMillis(12_000, cluster.affected()::start);
+					cluster.advance(90);
+					cluster.clearFates();
+					cluster.entry(0).kill();
+					cluster.advance(2_000);
+					cluster.resubmitTo(cluster.entry(target));
+					cluster.advance(16_000);
+					assertThat(cluster.violations()).as("job " + job + ", order " + lateMillis + " ms late").isEmpty();
+				}
+			}
+		}
+	}
+
+	// Guards against batches that nobody can take over while an endpoint is down.
+	@Example
+	void aTakeOverEndsAlthoughAnEndpointIsDown() {
+		ClusterModel cluster = new ClusterModel(1, 2, 5, 3);
+		cluster.guards().get(4).endpoint().crash(true);
+		cluster.guards().get(4).kill();
+		cluster.advance(500);
+		cluster.guards().get(4).start();
+		cluster.advance(30_000);
+		for (int job = 0; job < 8; job++) {
+			cluster.submit(cluster.entry(0), JOB + job, 3_000);
+		}
+		cluster.resubmitTo(cluster.entry(1));
+		cluster.advance(500);
+		cluster.entry(0).kill();
+		cluster.advance(12_000);
+		assertThat(cluster.violations()).isEmpty();
+		assertThat(cluster.callers().completed()).isEqualTo(8);
+	}
+
 	private static void cut(ClusterModel cluster, long millis) {
 		for (int guard = 0; guard < cluster.guards().size(); guard++) {
 			cluster.link(cluster.entry((guard < 3) ? 1 : 0), cluster.guards().get(guard)).reset(millis);
