Replace a claim only if no guard has runs of it

The end that an entry announces may be that of an earlier submission and read late, after the entry has claimed the batch again. Two keepers then let another entry replace the claim while the runs go on; takesNoEarlierEndForTheReleaseOfAClaim failed. All connected guards have to answer now. A take-over that is resumed is renewed at the guards.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -131,7 +131,10 @@
 	 */
 	void begin(BatchId batch, long waitMillis, Optional<BatchClaim> replaced, Moment now) {
 		if (isTakingOver(batch)) {
-			this.claims.get(batch).abandoned = false;
+			Claim claim = this.claims.get(batch);
+			claim.abandoned = false;
+			// The guards keep the claim for the wait of this caller, too.
+			this.guards.connected().forEach((guard) -> sendTakeOver(claim, guard));
 			return;
 		}
 		Claim claim = new Claim(batch, nextNumber(now), waitMillis + KEEP_AFTER_MILLIS, replaced,
@@ -285,20 +288,30 @@
 
 	private boolean isDecided(Claim claim, Moment now) {
 		return switch (claim.state) {
-			case CLAIMING -> claim.hasMajority();
-			case CLAIMING_EVERYWHERE -> claim.hasMajority() || isFreeEverywhere(claim);
+			case CLAIMING -> isGrantedByKeepers(claim);
+			case CLAIMING_EVERYWHERE -> isGrantedByKeepers(claim) || isFreeEverywhere(claim);
 			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
 					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
 			case UNCLAIMED, GRANTED -> false;
 		};
 	}
 
+	// The end that the other entry has announced may be that of an earlier claim, so its
+	// claim is replaced only if no guard has runs of it.
+	private boolean isGrantedByKeepers(Claim claim) {
+		return claim.hasMajority() && (claim.replaced.isEmpty() || isAnsweredEverywhere(claim));
+	}
+
+	private boolean isAnsweredEverywhere(Claim claim) {
+		return claim.free.keySet().containsAll(this.guards.connected());
+	}
+
 	// Keepers that may have forgotten claims count only together with all other guards,
 	// which know the runs. Unreachable ones never do: this entry may be cut off from them
 	// together with one that has the batch.
 	private boolean isFreeEverywhere(Claim claim) {
 		return claim.keepers.stream().filter(this.guards::isConnected).count() >= claim.majority()
-				&& claim.free.keySet().containsAll(this.guards.connected());
+				&& isAnsweredEverywhere(claim);
 	}
 
 	private boolean isUnreachable(Claim claim, Moment now) {
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -114,6 +114,21 @@
 		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.COMPLETED);
 	}
 
+	// Guards against the replacement of a claim for an end that was announced before the
+	// claim was made, and read late.
+	@Example
+	void takesNoEarlierEndForTheReleaseOfAClaim() {
+		this.fixture.dispatcher.onEntryConnected(PEER, FIRST, this.fixture.now());
+		this.fixture.submit("b1", 1);
+		answerHeld(asked().get(0), PEER_CLAIM, 1_300);
+		receiveFromPeer(new HeldBatches(false, List.of(BATCH), List.of()));
+		Arrays.stream(GUARDS).limit(4).forEach((guard) -> answerFree(new GuardId(guard)));
+		assertThat(this.fixture.starts()).isEmpty();
+		answerHeld(new GuardId(GUARDS[4]), PEER_CLAIM, 1_300);
+		this.fixture.advance(100);
+		assertThat(this.fixture.starts()).isEmpty();
+	}
+
 	// Guards against a second run if the entry that releases a batch is lost before it
 	// has confirmed the end: its claim is not replaced without proof.
 	@Example
