Ask all other entries while most keepers of a batch are away

Cause: with two of its three keepers down a batch was answered 504 although other guards had room.

Change: if the keepers don't answer within 50 ms, or most of them can't, the entry asks all other entries. It starts the batch if each knows that it doesn't have it. An entry that grants such a claim keeps it as a guard does, and an entry that has run for less than 15 s does not count. One that is away denies it, so the two sides of a cut still don't start a batch both.

Result: the model test batchesAreServedWhileSomeGuardsAreDown fails without the question to the entries and passes with it; aBatchRunsOnOneSideOnlyWhileTheSiteIsCut still passes.

--- a/bench/src/main/java/io/coriandermux/bench/batch/SimulatedEntry.java
+++ b/bench/src/main/java/io/coriandermux/bench/batch/SimulatedEntry.java
@@ -13,6 +13,7 @@
 import io.coriandermux.core.dispatch.DispatchSettings;
 import io.coriandermux.core.dispatch.TaskGroup;
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.message.Message;
@@ -68,7 +69,7 @@
 
 	void start() {
 		this.incarnation++;
-		this.dispatcher = new BatchDispatcher(id(), DispatchSettings.defaults(), 1,
+		this.dispatcher = new BatchDispatcher(new EntryIncarnation(id(), incarnation()), DispatchSettings.defaults(), 1,
 				new DispatchChannels(this::onAnswer, this::send, (entry, message) -> {
 				}, (notice) -> {
 				}), this.simulation.time().now());
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -8,9 +8,12 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Moment;
 import io.coriandermux.core.message.BatchClaim;
+import io.coriandermux.core.message.BatchHolder;
 import io.coriandermux.core.message.ClaimAnswer;
 import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.TakeOverAnswer;
@@ -44,24 +47,49 @@
 	 */
 	private static final long MAX_LINK_OUTAGE_NANOS = 500 * NANOS_PER_MILLI;
 
-	private final GuardChannel channel;
+	/**
+	 * An entry that has run for a shorter time may not know the claims that its former
+	 * incarnation has made or granted.
+	 */
+	private static final long COMPLETE_AFTER_NANOS = 15_000 * NANOS_PER_MILLI;
+
+	/** The guards answer within a few milliseconds, a loaded VM within some ten. */
+	private static final long KEEPER_TIMEOUT_NANOS = 50 * NANOS_PER_MILLI;
+
+	private static final long PEER_TIMEOUT_NANOS = 200 * NANOS_PER_MILLI;
+
+	private final EntryIncarnation self;
+
+	private final DispatchChannels channels;
 
 	private final ClaimListener listener;
 
-	private final ClaimGuards guards = new ClaimGuards();
+	private final long startedNanos;
+
+	private final ClaimMembers<GuardId> guards = new ClaimMembers<>();
+
+	private final ClaimMembers<EntryId> peers = new ClaimMembers<>();
+
+	private final GrantedClaims granted = new GrantedClaims();
 
 	private final Map<BatchId, Claim> claims = new LinkedHashMap<>();
 
+	private boolean peersKnown;
+
 	private long lastNumber;
 
 	/**
-	 * Creates an instance without guards.
-	 * @param channel sends messages to guards
+	 * Creates an instance without guards and other entries.
+	 * @param self this entry
+	 * @param channels sends messages to guards and to other entries
 	 * @param listener receives the results
+	 * @param now the current time
 	 */
-	BatchClaims(GuardChannel channel, ClaimListener listener) {
-		this.channel = channel;
+	BatchClaims(EntryIncarnation self, DispatchChannels channels, ClaimListener listener, Moment now) {
+		this.self = self;
+		this.channels = channels;
 		this.listener = listener;
+		this.startedNanos = now.nanos();
 	}
 
 	void onGuardsListed(Set<GuardId> listed, Moment now) {
@@ -78,7 +106,7 @@
 	private void claimUnclaimed(Moment now) {
 		for (Claim claim : new ArrayList<>(this.claims.values())) {
 			if (claim.state == State.UNCLAIMED) {
-				claim.keepers = this.guards.keepersOf(claim.batch);
+				claim.keepers = ClaimKeepers.select(claim.batch, this.guards.known());
 				ask(claim, now);
 			}
 		}
@@ -114,6 +142,59 @@
 		evaluateAll(now);
 	}
 
+	void onEntriesListed(Set<EntryId> listed, Moment now) {
+		this.peers.onListed(listed, now.nanos());
+		this.peersKnown = true;
+	}
+
+	void onEntryConnected(EntryId entry) {
+		this.peers.onConnected(entry);
+		this.claims.values().stream().filter((claim) -> claim.isClaiming() && claim.peersAsked).forEach((claim) -> {
+			claim.freePeers.remove(entry);
+			ask(claim, entry);
+		});
+	}
+
+	void onEntryLost(EntryId entry, Moment now) {
+		this.peers.onLost(entry, now.nanos());
+		this.claims.values().forEach((claim) -> claim.freePeers.remove(entry));
+	}
+
+	/**
+	 * Answers the claim of another entry, which can't reach most of the guards that keep
+	 * the claims of a batch.
+	 * @param peer the entry
+	 * @param message its claim
+	 * @param now the current time
+	 */
+	void onClaim(EntryIncarnation peer, ClaimBatch message, Moment now) {
+		BatchId batch = message.batch();
+		Optional<BatchHolder> holder = Optional.ofNullable(this.claims.get(batch))
+			.map((claim) -> new BatchHolder(new BatchClaim(this.self, claim.number), claim.ageMillis(now)))
+			.or(() -> findGranted(batch, message.replaced(), now)
+				.filter((other) -> !other.claim().entry().equals(peer)));
+		boolean complete = isComplete(now);
+		if (holder.isEmpty()) {
+			boolean recorded = this.granted.grant(batch, new BatchClaim(peer, message.number()), message.keepMillis(),
+					now.nanos());
+			complete = complete && recorded;
+		}
+		this.channels.peers().send(peer.entry(), new ClaimAnswer(batch, message.number(), complete, holder));
+	}
+
+	private Optional<BatchHolder> findGranted(BatchId batch, Optional<BatchClaim> replaced, Moment now) {
+		return this.granted.holder(batch, now.nanos()).filter((holder) -> !isReplaced(holder.claim(), replaced));
+	}
+
+	private static boolean isReplaced(BatchClaim claim, Optional<BatchClaim> replaced) {
+		return replaced.filter((other) -> other.entry().equals(claim.entry()) && other.number() >= claim.number())
+			.isPresent();
+	}
+
+	private boolean isComplete(Moment now) {
+		return now.nanos() - this.startedNanos >= COMPLETE_AFTER_NANOS;
+	}
+
 	/**
 	 * Returns whether batches start only after a claim.
 	 * @return whether a guard is listed that knows claims
@@ -138,8 +219,14 @@
 			return;
 		}
 		Claim claim = new Claim(batch, nextNumber(now), waitMillis + KEEP_AFTER_MILLIS, replaced,
-				this.guards.keepersOf(batch));
+				ClaimKeepers.select(batch, this.guards.known()));
+		claim.startedNanos = now.nanos();
 		this.claims.put(batch, claim);
+		Optional<BatchHolder> holder = findGranted(batch, replaced, now);
+		if (holder.isPresent()) {
+			this.listener.onHeld(batch, holder.get(), now);
+			return;
+		}
 		if (this.guards.isEmpty()) {
 			claim.state = State.UNCLAIMED;
 			this.listener.onGranted(batch);
@@ -228,6 +315,26 @@
 		evaluate(claim, now);
 	}
 
+	/**
+	 * Processes the answer of another entry to a claim.
+	 * @param peer the entry
+	 * @param answer its answer
+	 * @param now the current time
+	 */
+	void onPeerAnswer(EntryId peer, ClaimAnswer answer, Moment now) {
+		this.peers.recordCompleteness(peer, answer.complete());
+		Claim claim = this.claims.get(answer.batch());
+		if (claim == null || claim.number != answer.number() || !claim.isClaiming()) {
+			return;
+		}
+		if (answer.holder().isPresent()) {
+			this.listener.onHeld(claim.batch, answer.holder().get(), now);
+			return;
+		}
+		claim.freePeers.put(peer, answer.complete());
+		evaluate(claim, now);
+	}
+
 	void onAnswer(GuardId guard, TakeOverAnswer answer, Moment now) {
 		Claim claim = this.claims.get(answer.batch());
 		if (claim == null || claim.number != answer.number() || !claim.pending.contains(guard)) {
@@ -244,6 +351,8 @@
 
 	void tick(Moment now) {
 		this.guards.expire(now.nanos());
+		this.peers.expire(now.nanos());
+		this.granted.expire(now.nanos());
 		evaluateAll(now);
 	}
 
@@ -263,6 +372,11 @@
 				.filter((guard) -> !claim.asked.contains(guard))
 				.forEach((guard) -> ask(claim, guard));
 		}
+		if (needsPeers(claim, now)) {
+			claim.peersAsked = true;
+			claim.peersAskedNanos = now.nanos();
+			this.peers.connected().forEach((entry) -> ask(claim, entry));
+		}
 		if (isDecided(claim, now)) {
 			claim.takenOver = claim.state == State.TAKING_OVER;
 			if (claim.abandoned) {
@@ -279,6 +393,7 @@
 
 	private void grant(Claim claim) {
 		claim.state = State.GRANTED;
+		this.granted.remove(claim.batch);
 		this.listener.onGranted(claim.batch);
 	}
 
@@ -288,8 +403,9 @@
 
 	private boolean isDecided(Claim claim, Moment now) {
 		return switch (claim.state) {
-			case CLAIMING -> isGrantedByKeepers(claim);
-			case CLAIMING_EVERYWHERE -> isGrantedByKeepers(claim) || isFreeEverywhere(claim);
+			case CLAIMING -> isGrantedByKeepers(claim) || isGrantedByPeers(claim, now);
+			case CLAIMING_EVERYWHERE ->
+				isGrantedByKeepers(claim) || isFreeEverywhere(claim) || isGrantedByPeers(claim, now);
 			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
 					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
 			case UNCLAIMED, GRANTED -> false;
@@ -314,7 +430,28 @@
 				&& isAnsweredEverywhere(claim);
 	}
 
+	private boolean needsPeers(Claim claim, Moment now) {
+		return claim.isClaiming() && !claim.peersAsked && this.peersKnown
+				&& (!canHaveMajority(claim) || now.nanos() - claim.startedNanos >= KEEPER_TIMEOUT_NANOS);
+	}
+
+	// An entry that has run for long enough knows whether it has the batch, and an
+	// earlier
+	// incarnation of it has no runs any more.
+	private boolean isGrantedByPeers(Claim claim, Moment now) {
+		return claim.peersAsked && isComplete(now)
+				&& this.peers.known().stream().allMatch((entry) -> claim.freePeers.getOrDefault(entry, false));
+	}
+
+	private boolean canPeersGrant(Claim claim, Moment now) {
+		return claim.peersAsked && isComplete(now) && now.nanos() - claim.peersAskedNanos < PEER_TIMEOUT_NANOS
+				&& this.peers.known().stream().allMatch(this.peers::canAnswer);
+	}
+
 	private boolean isUnreachable(Claim claim, Moment now) {
+		if (canPeersGrant(claim, now)) {
+			return false;
+		}
 		long reachable = claim.keepers.stream()
 			.filter((guard) -> !this.guards.isAbsentFor(guard, MAX_LINK_OUTAGE_NANOS, now.nanos()))
 			.count();
@@ -323,11 +460,15 @@
 
 	private void ask(Claim claim, GuardId guard) {
 		claim.asked.add(guard);
-		this.channel.send(guard, new ClaimBatch(claim.batch, claim.number, claim.keepMillis, claim.replaced));
+		this.channels.guards().send(guard, new ClaimBatch(claim.batch, claim.number, claim.keepMillis, claim.replaced));
+	}
+
+	private void ask(Claim claim, EntryId entry) {
+		this.channels.peers().send(entry, new ClaimBatch(claim.batch, claim.number, claim.keepMillis, claim.replaced));
 	}
 
 	private void sendTakeOver(Claim claim, GuardId guard) {
-		this.channel.send(guard, new TakeOverBatch(claim.batch, claim.number, claim.keepMillis));
+		this.channels.guards().send(guard, new TakeOverBatch(claim.batch, claim.number, claim.keepMillis));
 	}
 
 	/** State of a claim. */
@@ -365,6 +506,9 @@
 		/** The guards that know of no other entry, with whether they can be sure. */
 		private final Map<GuardId, Boolean> free = new LinkedHashMap<>();
 
+		/** The other entries that don't have the batch, with whether they can be sure. */
+		private final Map<EntryId, Boolean> freePeers = new LinkedHashMap<>();
+
 		/** The guards that have not answered the take-over. */
 		private final Set<GuardId> pending = new LinkedHashSet<>();
 
@@ -372,6 +516,12 @@
 
 		private long number;
 
+		private long startedNanos;
+
+		private boolean peersAsked;
+
+		private long peersAskedNanos;
+
 		private boolean takenOver;
 
 		/** Whether the batch has ended at this entry before it was taken over. */
@@ -385,6 +535,10 @@
 			this.keepers = keepers;
 		}
 
+		long ageMillis(Moment now) {
+			return (now.nanos() - this.startedNanos) / NANOS_PER_MILLI;
+		}
+
 		boolean isClaiming() {
 			return this.state == State.CLAIMING || this.state == State.CLAIMING_EVERYWHERE;
 		}
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -15,6 +15,7 @@
 import io.coriandermux.core.message.BatchClaim;
 import io.coriandermux.core.message.BatchHolder;
 import io.coriandermux.core.message.ClaimAnswer;
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.EndpointChanged;
 import io.coriandermux.core.message.HeldBatch;
 import io.coriandermux.core.message.HeldBatches;
@@ -66,7 +67,7 @@
 	private static final BatchAnswer CANCELLED = BatchAnswer.of(BatchVerdict.CANCELLED,
 			"the caller cancelled the batch");
 
-	private final EntryId self;
+	private final EntryIncarnation self;
 
 	private final DispatchSettings settings;
 
@@ -109,26 +110,26 @@
 
 	/**
 	 * Creates the dispatcher of an entry without configuration and guards.
-	 * @param self id of the entry
+	 * @param self the entry
 	 * @param settings timeouts and time allowances
 	 * @param remoteFactor run time on a remote rack as a multiple of that on the rack of
 	 * the data
 	 * @param channels receivers of answers, messages and notices
 	 * @param now the current time
 	 */
-	public BatchDispatcher(EntryId self, DispatchSettings settings, double remoteFactor, DispatchChannels channels,
-			Moment now) {
+	public BatchDispatcher(EntryIncarnation self, DispatchSettings settings, double remoteFactor,
+			DispatchChannels channels, Moment now) {
 		this.self = self;
 		this.settings = settings;
 		this.startedNanos = now.nanos();
-		this.endpoints = new EndpointTable(remoteFactor, new EndpointPreference(self));
+		this.endpoints = new EndpointTable(remoteFactor, new EndpointPreference(self.entry()));
 		this.callers = channels.callers();
 		this.guards = channels.guards();
 		this.notices = new DispatchNotices(channels.notices());
 		this.timesCalculator = new BatchTimesCalculator(settings, this.endpoints, this.runTimes);
 		this.shutdown = new DispatchShutdown(settings);
 		this.handover = new BatchHandover(channels, this::isHeldHere);
-		this.claims = new BatchClaims(this.guards, new ClaimResults());
+		this.claims = new BatchClaims(self, channels, new ClaimResults(), now);
 		this.placer = new BatchPlacer(this.endpoints, this.guards, channels.notices(),
 				(batch, time) -> this.claims.isGranted(batch.id()) && isWithinTime(batch, time));
 	}
@@ -370,6 +371,16 @@
 		this.claims.onGuardsListed(listed, now);
 	}
 
+	/**
+	 * Handles a change of the listed entries. They are asked about a batch if most of the
+	 * guards that keep its claims don't answer.
+	 * @param listed the other entries
+	 * @param now the current time
+	 */
+	public void onEntriesListed(Set<EntryId> listed, Moment now) {
+		this.claims.onEntriesListed(listed, now);
+	}
+
 	/**
 	 * Handles a new link to a guard: sends it the runs that this entry holds there and
 	 * requests to stop those that are no longer needed.
@@ -431,6 +442,7 @@
 	 */
 	public void onEntryConnected(EntryId entry, Incarnation incarnation, Moment now) {
 		this.handover.onConnected(new EntryIncarnation(entry, incarnation), now);
+		this.claims.onEntryConnected(entry);
 	}
 
 	/**
@@ -441,6 +453,7 @@
 	 */
 	public void onEntryLost(EntryId entry, Incarnation incarnation, Moment now) {
 		this.handover.onLost(new EntryIncarnation(entry, incarnation), now);
+		this.claims.onEntryLost(entry, now);
 	}
 
 	/**
@@ -459,6 +472,12 @@
 		else if (message instanceof ReleaseBatch release) {
 			releaseBatch(entry, release.batch(), now);
 		}
+		else if (message instanceof ClaimBatch claim) {
+			this.claims.onClaim(new EntryIncarnation(entry, incarnation), claim, now);
+		}
+		else if (message instanceof ClaimAnswer answer) {
+			this.claims.onPeerAnswer(entry, answer, now);
+		}
 	}
 
 	// Two entries may accept a batch before either knows of the other. The caller has
@@ -845,7 +864,7 @@
 				return;
 			}
 			EntryIncarnation entry = holder.claim().entry();
-			boolean own = entry.entry().equals(BatchDispatcher.this.self);
+			boolean own = entry.entry().equals(BatchDispatcher.this.self.entry());
 			String reason = "entry " + entry.entry() + " claimed the batch " + holder.ageMillis() + " ms ago";
 			BatchDispatcher.this.notices.send(NoticeKind.BATCH_CLAIM_DENIED, id.value(),
 					reason + ", incarnation " + entry.incarnation().value());
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.coriandermux.core.id.EntryId;
 import io.coriandermux.core.id.EntryIncarnation;
@@ -39,6 +40,8 @@
 
 	private static final EntryId PEER = new EntryId("e2");
 
+	private static final EntryId THIRD = new EntryId("e3");
+
 	private static final Incarnation FIRST = new Incarnation(5);
 
 	private static final BatchClaim PEER_CLAIM = new BatchClaim(new EntryIncarnation(PEER, FIRST), 7);
@@ -316,6 +319,97 @@
 		assertThat(this.fixture.starts()).isEmpty();
 	}
 
+	// Guards against a site that refuses a part of its batches while some guards are
+	// down.
+	@Example
+	void startsABatchWhoseKeepersAreAwayWhenAllOtherEntriesDoNotHaveIt() {
+		connectEntries();
+		this.fixture.advance(11_000);
+		loseKeepersOf("b1");
+		this.fixture.advance(3_000);
+		this.fixture.peerMessages.clear();
+		this.fixture.submit("b1", 1);
+		assertThat(entriesAsked()).containsExactly(PEER, THIRD);
+		answerOfEntry(PEER, true, Optional.empty());
+		assertThat(this.fixture.starts()).isEmpty();
+		answerOfEntry(THIRD, true, Optional.empty());
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against a second run: one of the other entries has the batch, has just
+	// started, or can't be asked.
+	@Example
+	void startsNoBatchWhoseKeepersAreAwayWithoutTheAnswerOfEachEntry() {
+		connectEntries();
+		this.fixture.advance(11_000);
+		loseKeepersOf("b1");
+		this.fixture.advance(3_000);
+		CallerRef held = this.fixture.submit("b1", 1);
+		answerOfEntry(PEER, true, Optional.empty());
+		answerOfEntry(THIRD, true, Optional.of(new BatchHolder(PEER_CLAIM, 100)));
+		assertThat(this.fixture.verdict(held)).isEqualTo(BatchVerdict.UNFINISHED);
+		CallerRef incomplete = this.fixture.submit("b1", 1);
+		answerOfEntry(PEER, true, Optional.empty());
+		answerOfEntry(THIRD, false, Optional.empty());
+		this.fixture.advance(500);
+		assertThat(this.fixture.verdict(incomplete)).isEqualTo(BatchVerdict.UNFINISHED);
+		this.fixture.dispatcher.onEntryLost(THIRD, FIRST, this.fixture.now());
+		CallerRef lost = this.fixture.submit("b1", 1);
+		answerOfEntry(PEER, true, Optional.empty());
+		assertThat(this.fixture.verdict(lost)).isEqualTo(BatchVerdict.UNFINISHED);
+		assertThat(this.fixture.starts()).isEmpty();
+	}
+
+	// Guards against an entry that starts a batch that it has granted to another one.
+	@Example
+	void startsNoBatchThatItHasGrantedToAnotherEntry() {
+		connectEntries();
+		receiveFromPeer(new ClaimBatch(BATCH, 7, 20_000, Optional.empty()));
+		this.fixture.dispatcher.onEntryLost(PEER, FIRST, this.fixture.now());
+		this.fixture.advance(1_300);
+		this.fixture.submit("b1", 1);
+		asked().forEach(this::answerFree);
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(takeOvers()).hasSize(GUARDS.length);
+	}
+
+	@Example
+	void tellsAnEntryThatClaimsABatchWhoHasIt() {
+		connectEntries();
+		this.fixture.advance(11_000);
+		receiveFromPeer(new ClaimBatch(BATCH, 7, 20_000, Optional.empty()));
+		assertThat(lastAnswerTo(PEER)).isEqualTo(new ClaimAnswer(BATCH, 7, true, Optional.empty()));
+		this.fixture.advance(100);
+		this.fixture.dispatcher.onEntryMessage(THIRD, FIRST, new ClaimBatch(BATCH, 9, 20_000, Optional.empty()),
+				this.fixture.now());
+		assertThat(lastAnswerTo(THIRD))
+			.isEqualTo(new ClaimAnswer(BATCH, 9, true, Optional.of(new BatchHolder(PEER_CLAIM, 100))));
+		this.fixture.submit("b2", 1);
+		BatchId own = new BatchId("b2");
+		receiveFromPeer(new ClaimBatch(own, 8, 20_000, Optional.empty()));
+		assertThat(((ClaimAnswer) lastAnswerTo(PEER)).holder().map((holder) -> holder.claim().entry()))
+			.contains(DispatcherFixture.incarnationOf("e1"));
+	}
+
+	// Guards against an entry that has just started and vouches for batches of its former
+	// incarnation.
+	@Example
+	void answersAsIncompleteWhileItHasJustStarted() {
+		connectEntries();
+		receiveFromPeer(new ClaimBatch(BATCH, 7, 20_000, Optional.empty()));
+		assertThat(lastAnswerTo(PEER)).isEqualTo(new ClaimAnswer(BATCH, 7, false, Optional.empty()));
+	}
+
+	@Example
+	void asksTheOtherEntriesIfTheKeepersDoNotAnswer() {
+		connectEntries();
+		this.fixture.advance(11_000);
+		this.fixture.submit("b1", 1);
+		assertThat(entriesAsked()).isEmpty();
+		this.fixture.advance(50);
+		assertThat(entriesAsked()).containsExactly(PEER, THIRD);
+	}
+
 	@Example
 	void asksAKeeperAgainOnANewLink() {
 		this.fixture.submit("b1", 1);
@@ -371,6 +465,42 @@
 		assertThat(this.fixture.starts()).isEmpty();
 	}
 
+	private void connectEntries() {
+		this.fixture.dispatcher.onEntriesListed(Set.of(PEER, THIRD), this.fixture.now());
+		this.fixture.dispatcher.onEntryConnected(PEER, FIRST, this.fixture.now());
+		this.fixture.dispatcher.onEntryConnected(THIRD, FIRST, this.fixture.now());
+	}
+
+	private void loseKeepersOf(String batch) {
+		this.fixture.submit(batch, 1);
+		List<GuardId> keepers = asked();
+		keepers.stream()
+			.skip(1)
+			.forEach((guard) -> this.fixture.dispatcher.onGuardLost(guard, DispatcherFixture.INCARNATION,
+					this.fixture.now()));
+	}
+
+	private List<EntryId> entriesAsked() {
+		return this.fixture.peerMessages.stream()
+			.filter((sent) -> sent.message() instanceof ClaimBatch)
+			.map(DispatcherFixture.PeerMessage::entry)
+			.toList();
+	}
+
+	private void answerOfEntry(EntryId entry, boolean complete, Optional<BatchHolder> holder) {
+		this.fixture.dispatcher.onEntryMessage(entry, FIRST,
+				new ClaimAnswer(BATCH, claimNumber(BATCH), complete, holder), this.fixture.now());
+		this.fixture.dispatcher.placeIfDue(this.fixture.now());
+	}
+
+	private Message lastAnswerTo(EntryId entry) {
+		return this.fixture.peerMessages.stream()
+			.filter((sent) -> sent.entry().equals(entry) && sent.message() instanceof ClaimAnswer)
+			.map(DispatcherFixture.PeerMessage::message)
+			.reduce((first, second) -> second)
+			.orElseThrow();
+	}
+
 	private List<GuardId> asked() {
 		return asked(this.fixture);
 	}
@@ -383,8 +513,9 @@
 	}
 
 	private long claimNumber(BatchId batch) {
-		return this.fixture.sentMessages.stream()
-			.map(DispatcherFixture.SentMessage::message)
+		return Stream
+			.concat(this.fixture.sentMessages.stream().map(DispatcherFixture.SentMessage::message),
+					this.fixture.peerMessages.stream().map(DispatcherFixture.PeerMessage::message))
 			.filter((message) -> message instanceof ClaimBatch claim && claim.batch().equals(batch))
 			.mapToLong((message) -> ((ClaimBatch) message).number())
 			.max()
--- a/core/src/test/java/io/coriandermux/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/DispatcherFixture.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.Moment;
@@ -50,7 +51,7 @@
 
 	private long nanos = 1_000_000_000L;
 
-	final BatchDispatcher dispatcher = new BatchDispatcher(new EntryId("e1"), DispatchSettings.defaults(), 1.5,
+	final BatchDispatcher dispatcher = new BatchDispatcher(incarnationOf("e1"), DispatchSettings.defaults(), 1.5,
 			new DispatchChannels(this.answers::put,
 					(guard, message) -> this.sentMessages.add(new SentMessage(guard, message)),
 					(entry, message) -> this.peerMessages.add(new PeerMessage(entry, message)), this.notices::add),
@@ -58,6 +59,10 @@
 
 	private long lastCaller;
 
+	static EntryIncarnation incarnationOf(String entry) {
+		return new EntryIncarnation(new EntryId(entry), INCARNATION);
+	}
+
 	static DispatcherFixture withGuards(String... guards) {
 		DispatcherFixture fixture = new DispatcherFixture();
 		fixture.dispatcher.applyRoutes(routes(1, "/q/"));
--- a/core/src/test/java/io/coriandermux/core/dispatch/EndpointPreferenceTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/EndpointPreferenceTests.java
@@ -79,8 +79,8 @@
 	}
 
 	private void submitBurst(String name, int tasks) {
-		BatchDispatcher dispatcher = new BatchDispatcher(new EntryId(name), DispatchSettings.defaults(), 1.5,
-				new DispatchChannels((caller, answer) -> {
+		BatchDispatcher dispatcher = new BatchDispatcher(DispatcherFixture.incarnationOf(name),
+				DispatchSettings.defaults(), 1.5, new DispatchChannels((caller, answer) -> {
 				}, (guard, message) -> {
 					if (message instanceof StartRun) {
 						this.orders.merge(guard.value(), 1, Integer::sum);
--- a/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
@@ -17,9 +17,11 @@
 import io.coriandermux.core.dispatch.DispatchChannels;
 import io.coriandermux.core.dispatch.DispatchSettings;
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.id.RouteName;
+import io.coriandermux.core.message.ClaimAnswer;
 import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.Message;
 import io.coriandermux.core.message.ReleaseBatch;
@@ -74,13 +76,14 @@
 
 	@Override
 	void onStart() {
-		this.dispatcher = new BatchDispatcher(this.id, DispatchSettings.defaults(), 1,
-				new DispatchChannels(this::answer, this::send, this::sendToPeer,
+		this.dispatcher = new BatchDispatcher(new EntryIncarnation(this.id, incarnation()), DispatchSettings.defaults(),
+				1, new DispatchChannels(this::answer, this::send, this::sendToPeer,
 						(notice) -> log(notice.kind() + " " + notice.subject() + " : " + notice.detail())),
 				now());
 		this.dispatcher.applyRoutes(ROUTES);
 		if (ClusterModel.CLAIMS) {
 			this.dispatcher.onGuardsListed(Set.copyOf(this.links.keySet()), now());
+			this.dispatcher.onEntriesListed(Set.copyOf(this.peers.keySet()), now());
 		}
 	}
 
@@ -139,6 +142,13 @@
 			if (message instanceof ReleaseBatch release) {
 				log("requests the release of " + release.batch().value() + " by " + entry);
 			}
+			else if (message instanceof ClaimBatch claim) {
+				log("claims " + claim.batch().value() + " at " + entry);
+			}
+			else if (message instanceof ClaimAnswer answer) {
+				log("answers the claim of " + answer.batch().value() + " by " + entry + " : complete "
+						+ answer.complete() + ", holder " + answer.holder());
+			}
 			this.peers.get(entry).accept(message);
 		});
 	}
--- a/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/TwoRunsAfterResubmissionTests.java
@@ -297,6 +297,22 @@
 		}
 	}
 
+	// Guards against batches that are refused while two of their three keepers are down,
+	// although all entries live.
+	@Example
+	void batchesAreServedWhileSomeGuardsAreDown() {
+		ClusterModel cluster = new ClusterModel(1, 3, 7, 3);
+		cluster.guards().subList(0, 3).forEach(ModelGuard::kill);
+		cluster.advance(3_000);
+		for (int job = 0; job < 12; job++) {
+			cluster.submit(cluster.entry(job % 3), JOB + job, 100);
+			cluster.advance(200);
+		}
+		cluster.advance(1_000);
+		assertThat(cluster.violations()).isEmpty();
+		assertThat(cluster.callers().completed()).isEqualTo(12);
+	}
+
 	// Guards against batches that nobody can take over while an endpoint is down.
 	@Example
 	void aTakeOverEndsAlthoughAnEndpointIsDown() {
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -23,6 +23,7 @@
 import io.coriandermux.core.dispatch.DispatchSettings;
 import io.coriandermux.core.dispatch.DispatchStatus;
 import io.coriandermux.core.id.EntryId;
+import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.id.GuardId;
 import io.coriandermux.core.id.Moment;
 import io.coriandermux.core.message.ClaimAnswer;
@@ -95,6 +96,8 @@
 
 	private final ClaimPeers claimPeers;
 
+	private final ClaimEntries claimEntries;
+
 	/**
 	 * Parses the documents that other entries send, because parsing would block the
 	 * decision thread for too long.
@@ -130,10 +133,12 @@
 		this.links = this.process.links();
 		this.connectedPeers = new ConnectedPeers(this.links::send);
 		this.exchange = new TablesExchange(new PeerName(PeerRole.ENTRY, this.process.id()), this.links::send);
-		this.dispatcher = new BatchDispatcher(new EntryId(this.process.id()), DispatchSettings.defaults(),
-				settings.remoteFactor(),
+		this.dispatcher = new BatchDispatcher(
+				new EntryIncarnation(new EntryId(this.process.id()), this.context.incarnation()),
+				DispatchSettings.defaults(), settings.remoteFactor(),
 				new DispatchChannels(this::deliverAnswer, this::sendToGuard, this::sendToEntry, this.process::record),
 				time.now());
+		this.claimEntries = new ClaimEntries(new PeerName(PeerRole.ENTRY, this.process.id()));
 		this.claimPeers = new ClaimPeers(this::sendClaim, this.process::onDropped,
 				(guards) -> this.dispatcher.onGuardsListed(guards, this.process.now()));
 		this.process.start(() -> this.dispatcher.status(this.process.now()));
@@ -256,6 +261,8 @@
 	private void updateLinks(Map<PeerName, Member> members) {
 		this.handoverPeers.onMembers(members.values());
 		this.claimPeers.onMembers(members.values());
+		this.claimEntries.onMembers(members.values());
+		listEntries();
 		members.forEach((name, member) -> {
 			// Of two entries, the one with the lower id opens the link, so that there
 			// is only one link between them.
@@ -276,6 +283,10 @@
 		});
 	}
 
+	private void listEntries() {
+		this.dispatcher.onEntriesListed(this.claimEntries.listed(this.connectedPeers.entries()), this.process.now());
+	}
+
 	private void onPeerConnected(PeerIdentity peer) {
 		this.connectedPeers.onConnected(peer);
 		this.context.log()
@@ -295,8 +306,13 @@
 	}
 
 	private void sendToEntry(EntryId entry, Message message) {
+		PeerName peer = new PeerName(PeerRole.ENTRY, entry.value());
+		if (message instanceof ClaimBatch && !this.claimEntries.knowsClaims(peer)) {
+			this.process.onDropped(peer, message);
+			return;
+		}
 		this.context.metrics().count("messages.sent." + message.getClass().getSimpleName());
-		this.connectedPeers.send(new PeerName(PeerRole.ENTRY, entry.value()), message);
+		this.connectedPeers.send(peer, message);
 	}
 
 	private void sendToGuard(GuardId guard, Message message) {
@@ -326,6 +342,7 @@
 			this.exchange.onEntryLost(peer.name());
 			this.handoverPeers.onLost(peer);
 			this.dispatcher.onEntryLost(new EntryId(peer.name().id()), peer.incarnation(), this.process.now());
+			listEntries();
 		}
 	}
 
@@ -352,7 +369,8 @@
 			}
 			this.dispatcher.onMessage(new GuardId(peer.name().id()), peer.incarnation(), message, this.process.now());
 		}
-		else if (message instanceof HeldBatches || message instanceof ReleaseBatch) {
+		else if (message instanceof HeldBatches || message instanceof ReleaseBatch || message instanceof ClaimBatch
+				|| message instanceof ClaimAnswer) {
 			this.context.metrics().count("messages.received." + message.getClass().getSimpleName());
 			this.handoverPeers.onMessage(peer);
 			this.dispatcher.onEntryMessage(new EntryId(peer.name().id()), peer.incarnation(), message,
