Ignore a run that an overtaken answer lists after its end

Cause: while orders stay unanswered, a guard has several polls in flight, and their answers may overtake each other. A run whose end was processed already and that an older answer lists as active was taken for one without an order: the guard stopped it and renewed the lease only after the next answer.

Change: runs whose end was listed are left out of the active ones. An endpoint accepts no run again that has ended there.

Result: the new test failed before with ORPHAN_STOPPED for the run.

--- a/core/src/main/java/io/coriandermux/core/lease/RunTable.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,12 @@
 	 */
 	private static final long MIN_STOP_INTERVAL_MILLIS = 20;
 
+	/**
+	 * The ends that an endpoint lists within the 400 ms after which a poll counts as
+	 * unanswered are fewer.
+	 */
+	private static final int MAX_LISTED_ENDS = 1024;
+
 	private final LeaseSettings settings;
 
 	private final EndpointOrders orders;
@@ -48,6 +55,9 @@
 
 	private final Map<RunId, Long> orphanStops = new LinkedHashMap<>();
 
+	/** The last runs whose end this incarnation of the endpoint has listed. */
+	private final Set<RunId> listedEnds = new LinkedHashSet<>();
+
 	private ResourceAmounts used = ResourceAmounts.NONE;
 
 	private boolean unknownRun;
@@ -270,6 +280,7 @@
 	 */
 	void onNewIncarnation(long nowNanos) {
 		this.unknownRun = false;
+		this.listedEnds.clear();
 		for (HeldRun held : list()) {
 			if (held.wasListed() && !held.mayStartLate(nowNanos)) {
 				end(held, RunOutcome.ENDPOINT_LOST, EndProof.NEW_INCARNATION, nowNanos);
@@ -323,6 +334,7 @@
 						(held) -> end(held, effectiveOutcome(held, end.outcome()), EndProof.LISTED_END, nowNanos),
 						() -> this.notices.onEndNotHeld(end));
 				this.orphanStops.remove(end.run());
+				recordListedEnd(end.run());
 			}
 		}
 		Map<RunId, ActiveRun> active = new LinkedHashMap<>();
@@ -339,11 +351,21 @@
 						EndProof.ABSENT, nowNanos);
 			}
 		}
+		// The answers to several polls may overtake each other. One that lists a run as
+		// active whose end was listed before is the older one.
+		active.keySet().removeAll(this.listedEnds);
 		active.keySet().forEach((run) -> stopOrphan(run, nowNanos));
 		this.unknownRun = !active.isEmpty();
 		return active.isEmpty();
 	}
 
+	private void recordListedEnd(RunId run) {
+		this.listedEnds.add(run);
+		if (this.listedEnds.size() > MAX_LISTED_ENDS) {
+			this.listedEnds.remove(this.listedEnds.iterator().next());
+		}
+	}
+
 	private static RunOutcome effectiveOutcome(HeldRun held, RunOutcome reported) {
 		return (reported == RunOutcome.STOPPED) ? held.stopOutcome() : reported;
 	}
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerHarness.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerHarness.java
@@ -151,8 +151,15 @@
 	}
 
 	void answerPoll(long startedAtMillis, List<ActiveRun> active, List<EndedRun> ended) {
-		Poll last = this.polls.get(this.polls.size() - 1);
-		this.leaseManager.onPollAnswered(last, OrderResult.ACCEPTED,
+		answerPoll(this.polls.get(this.polls.size() - 1), startedAtMillis, active, ended);
+	}
+
+	void answerPoll(Poll poll, List<ActiveRun> active, List<EndedRun> ended) {
+		answerPoll(poll, ENDPOINT_INCARNATION.startedAtMillis(), active, ended);
+	}
+
+	private void answerPoll(Poll poll, long startedAtMillis, List<ActiveRun> active, List<EndedRun> ended) {
+		this.leaseManager.onPollAnswered(poll, OrderResult.ACCEPTED,
 				Optional.of(new PollAnswer(endpointClockMillis(), startedAtMillis, active, ended)), now());
 	}
 
--- a/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/LeaseManagerTests.java
@@ -6,6 +6,7 @@
 
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.message.HeldRuns;
+import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.RunId;
 import io.coriandermux.core.run.RunOutcome;
 import net.jqwik.api.Example;
@@ -102,6 +103,25 @@
 		assertThat(harness.stops).containsExactly(RUN);
 	}
 
+	// Guards against a lease that is not renewed, so that all runs lapse, because an
+	// answer that was overtaken by a newer one lists a run that has ended since.
+	@Example
+	void renewsTheLeaseAfterAnOvertakenAnswerListsARunThatHasEnded() {
+		LeaseManagerHarness harness = LeaseManagerHarness.settled();
+		harness.startRunning(RUN);
+		Poll older = harness.polls.get(harness.polls.size() - 1);
+		harness.requestStart(OTHER_RUN);
+		harness.answerStart(OTHER_RUN, OrderResult.UNANSWERED);
+		harness.answerPoll(List.of(new ActiveRun(OTHER_RUN, 1)), List.of(new EndedRun(1, RUN, RunOutcome.DONE)));
+		harness.answerPoll(older, List.of(new ActiveRun(RUN, 50), new ActiveRun(OTHER_RUN, 1)), List.of());
+		assertThat(harness.notices(NoticeKind.ORPHAN_STOPPED)).isEmpty();
+		assertThat(harness.stops).isEmpty();
+		harness.advance(100);
+		harness.requestStart(LeaseManagerHarness.run("b3", 1));
+		OptionalLong lease = harness.leases.get(harness.leases.size() - 1).expiresAtMillis();
+		assertThat(lease.orElseThrow()).isGreaterThan(harness.endpointClockMillis() + 700);
+	}
+
 	// Guards against a run that changes its owner: the first entry would have the run
 	// stopped or restarted that the second one counts on.
 	@Example
