Renew the lease of an announcement also when its value is written

Cause: after each write the announcer waited for a third of the lease before the next renewal, but a write does not renew the lease. A guard whose announced report changed each 2 s or more often lost its announcement after 6 s.

Change: a write is followed by a renewal.

Result: the new test waited 20 s for a renewal after a write without success on the code before, and passes with the change.

--- a/daemon/src/main/java/io/coriandermux/daemon/run/Announcer.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/Announcer.java
@@ -184,7 +184,8 @@
 				if (!this.value.get().equals(this.writtenValue)) {
 					write(this.revision, lease);
 				}
-				else if (!this.closed) {
+				// Writing a value under a lease does not renew the lease.
+				if (!this.closed) {
 					this.store.renewLease(lease);
 				}
 				this.health.onResponse();
--- a/daemon/src/test/java/io/coriandermux/daemon/run/StoreThreadTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/run/StoreThreadTests.java
@@ -95,6 +95,21 @@
 		assertThat(unexpectedExceptions()).hasSize(2);
 	}
 
+	// Guards against an announcement that expires although its process lives: each change
+	// of the value delayed the next renewal, so a value that changed every 2 s kept the
+	// lease from being renewed.
+	@Example
+	void leaseIsRenewedWhenTheAnnouncementChanges() throws InterruptedException {
+		CountDownLatch announced = new CountDownLatch(1);
+		try (Announcer announcer = new Announcer(this.store, new KvEntry("a/self", "v", 0), 180_000, (earlier) -> {
+		}, announced::countDown, this.log, this.health)) {
+			announcer.start();
+			assertThat(announced.await(60, TimeUnit.SECONDS)).isTrue();
+			announcer.update("w");
+			assertThat(this.store.renewed.await(20, TimeUnit.SECONDS)).isTrue();
+		}
+	}
+
 	private List<String> unexpectedExceptions() {
 		return this.log.recentEvents()
 			.stream()
@@ -112,6 +127,8 @@
 
 		private final AtomicBoolean hasFailed = new AtomicBoolean();
 
+		private final CountDownLatch renewed = new CountDownLatch(1);
+
 		@Override
 		public KvSnapshot readPrefix(String prefix) {
 			if (this.hasFailed.compareAndSet(false, true)) {
@@ -143,6 +160,7 @@
 		@Override
 		public void renewLease(long lease) {
 			this.memory.renewLease(lease);
+			this.renewed.countDown();
 		}
 
 		@Override
