Model guards that fall silent right after a start

The faults of the model struck at random times, so hardly ever a guard whose endpoint has just accepted a start.

--- a/core/src/test/java/io/coriandermux/core/model/ClusterModel.java
+++ b/core/src/test/java/io/coriandermux/core/model/ClusterModel.java
@@ -58,10 +58,26 @@
 	 * @param slots number of runs for which each endpoint has room
 	 */
 	ClusterModel(long seed, int entryCount, int guardCount, int slots) {
-		this(seed, entryCount, guardCount, slots, false);
+		this(seed, entryCount, guardCount, slots, false,
+				(CLAIMS && seed % YOUNG_CLUSTERS != 0) ? CLAIMS_KNOWN_MILLIS : START_MILLIS, 0);
 	}
 
-	private ClusterModel(long seed, int entryCount, int guardCount, int slots, boolean slowestClocks) {
+	/**
+	 * Creates a cluster whose processes start within a range of time and have run for a
+	 * given time.
+	 * @param seed seed of delays and clocks
+	 * @param entryCount number of entries
+	 * @param guardCount number of guards
+	 * @param slots number of runs for which each endpoint has room
+	 * @param ageMillis time since the first start in milliseconds
+	 * @param startRangeMillis time within which the processes start, in milliseconds
+	 */
+	ClusterModel(long seed, int entryCount, int guardCount, int slots, long ageMillis, long startRangeMillis) {
+		this(seed, entryCount, guardCount, slots, false, ageMillis, startRangeMillis);
+	}
+
+	private ClusterModel(long seed, int entryCount, int guardCount, int slots, boolean slowestClocks, long ageMillis,
+			long startRangeMillis) {
 		this.random = new SplittableRandom(seed);
 		this.callers = new ModelCallers(this.clock, this.trace, this::nextEntry);
 		for (int i = 0; i < entryCount; i++) {
@@ -81,10 +97,20 @@
 				.add(ModelLink.between(entry, guard, this.clock, this.random.split(), this.checker)));
 		}
 		linkEntries(new SplittableRandom(seed + 1));
-		this.entries.forEach(ModelEntry::start);
-		this.guards.forEach(ModelGuard::start);
-		this.guards.forEach(ModelGuard::report);
-		advance((CLAIMS && seed % YOUNG_CLUSTERS != 0) ? CLAIMS_KNOWN_MILLIS : START_MILLIS);
+		if (startRangeMillis > 0) {
+			this.entries.forEach((entry) -> startWithin(entry, startRangeMillis));
+			this.guards.forEach((guard) -> startWithin(guard, startRangeMillis));
+		}
+		else {
+			this.entries.forEach(ModelEntry::start);
+			this.guards.forEach(ModelGuard::start);
+			this.guards.forEach(ModelGuard::report);
+		}
+		advance(ageMillis);
+	}
+
+	private void startWithin(ModelProcess process, long rangeMillis) {
+		this.clock.afterMillis(this.random.nextLong(rangeMillis), process::start);
 	}
 
 	private void linkEntries(SplittableRandom linkRandom) {
@@ -102,7 +128,7 @@
 	 * @return the cluster
 	 */
 	static ClusterModel small() {
-		return new ClusterModel(1, 2, 2, 1, false);
+		return new ClusterModel(1, 2, 2, 1, false, CLAIMS_KNOWN_MILLIS, 0);
 	}
 
 	/**
@@ -110,7 +136,7 @@
 	 * @return the cluster
 	 */
 	static ClusterModel smallWithSlowClocks() {
-		return new ClusterModel(1, 2, 2, 1, true);
+		return new ClusterModel(1, 2, 2, 1, true, CLAIMS_KNOWN_MILLIS, 0);
 	}
 
 	ModelClock clock() {
--- a/core/src/test/java/io/coriandermux/core/model/ModelCallers.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelCallers.java
@@ -133,6 +133,33 @@
 		});
 	}
 
+	/**
+	 * Returns the entry at which the caller of a batch waits.
+	 * @param id the batch
+	 * @return the entry, empty if the caller does not wait
+	 */
+	Optional<ModelEntry> entryOf(BatchId id) {
+		return find(id).map(PendingBatch::entry);
+	}
+
+	/**
+	 * Delivers an earlier request for a batch, which was held on its way and whose caller
+	 * has left unnoticed.
+	 * @param id the batch, nothing is delivered if its caller does not wait
+	 * @param entry the entry that receives the request
+	 */
+	void deliverEarlierRequest(BatchId id, ModelEntry entry) {
+		find(id).filter((batch) -> entry.isUp()).ifPresent((batch) -> {
+			this.trace.add("callers", "FAULT an earlier request for " + id.value() + " reaches " + entry.name());
+			this.lastCaller++;
+			entry.submit(new CallerRef(this.lastCaller), batch.request());
+		});
+	}
+
+	private Optional<PendingBatch> find(BatchId id) {
+		return this.pending.values().stream().filter((batch) -> batch.request().id().equals(id)).findFirst();
+	}
+
 	private void resubmit(BatchRequest request, long delayMillis) {
 		this.clock.afterMillis(delayMillis, () -> submit(this.nextEntry.get(), request));
 	}
--- a/core/src/test/java/io/coriandermux/core/model/ModelEndpoint.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelEndpoint.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 
 import io.coriandermux.core.id.PoolName;
 import io.coriandermux.core.lease.ActiveRun;
@@ -68,6 +69,9 @@
 
 	private BiFunction<OrderKind, RunId, OrderFate> fates = (kind, run) -> OrderFate.NORMAL;
 
+	private Consumer<RunId> startListener = (run) -> {
+	};
+
 	private EndpointIncarnation incarnation;
 
 	private boolean up = true;
@@ -106,6 +110,14 @@
 		this.fates = value;
 	}
 
+	/**
+	 * Sets what is called when a run has started, before the guard receives the answer.
+	 * @param value receives the run
+	 */
+	void setStartListener(Consumer<RunId> value) {
+		this.startListener = value;
+	}
+
 	List<RunId> activeRuns() {
 		return List.copyOf(this.active.keySet());
 	}
@@ -195,6 +207,7 @@
 		this.active.put(run, execution);
 		this.checker.onStarted(this, run, late);
 		this.clock.afterMillis(runMillis, () -> end(run, execution, RunOutcome.DONE));
+		this.startListener.accept(run);
 		return OrderResult.ACCEPTED;
 	}
 
--- a/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import io.coriandermux.core.dispatch.BatchAnswer;
 import io.coriandermux.core.dispatch.BatchDispatcher;
@@ -47,6 +49,13 @@
 
 	private final List<Runnable> killHandlers = new ArrayList<>();
 
+	/** Guards that the store does not list. */
+	private final Set<GuardId> unannounced = new LinkedHashSet<>();
+
+	private final Set<GuardId> connected = new LinkedHashSet<>();
+
+	private Set<GuardId> listed = Set.of();
+
 	private ModelCallers callers;
 
 	private BatchDispatcher dispatcher;
@@ -82,11 +91,40 @@
 				now());
 		this.dispatcher.applyRoutes(ROUTES);
 		if (ClusterModel.CLAIMS) {
-			this.dispatcher.onGuardsListed(Set.copyOf(this.links.keySet()), now());
+			this.connected.clear();
+			this.listed = Set.of();
+			listGuards();
 			this.dispatcher.onEntriesListed(Set.copyOf(this.peers.keySet()), now());
 		}
 	}
 
+	/**
+	 * Sets whether the store lists a guard. A guard that is connected stays listed here.
+	 * @param guard the guard
+	 * @param value whether it is listed
+	 */
+	void setAnnounced(GuardId guard, boolean value) {
+		if (value) {
+			this.unannounced.remove(guard);
+		}
+		else {
+			this.unannounced.add(guard);
+		}
+		post(this::listGuards);
+	}
+
+	boolean isListed(GuardId guard) {
+		return !this.unannounced.contains(guard) || this.connected.contains(guard);
+	}
+
+	private void listGuards() {
+		Set<GuardId> current = this.links.keySet().stream().filter(this::isListed).collect(Collectors.toSet());
+		if (ClusterModel.CLAIMS && !current.equals(this.listed)) {
+			this.listed = current;
+			this.dispatcher.onGuardsListed(current, now());
+		}
+	}
+
 	@Override
 	void onKilled() {
 		this.killHandlers.forEach(Runnable::run);
@@ -109,12 +147,19 @@
 	}
 
 	void onGuardConnected(GuardId guard, Incarnation incarnation) {
-		post(() -> this.dispatcher.onGuardConnected(guard, incarnation));
+		post(() -> {
+			this.connected.add(guard);
+			this.dispatcher.onGuardConnected(guard, incarnation);
+		});
 	}
 
 	void onGuardLost(GuardId guard, Incarnation incarnation) {
 		log("FAULT lost " + guard);
-		post(() -> this.dispatcher.onGuardLost(guard, incarnation, now()));
+		post(() -> {
+			this.dispatcher.onGuardLost(guard, incarnation, now());
+			this.connected.remove(guard);
+			listGuards();
+		});
 	}
 
 	void onMessage(GuardId guard, Incarnation incarnation, Message message) {
--- a/core/src/test/java/io/coriandermux/core/model/ModelGuard.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelGuard.java
@@ -37,6 +37,8 @@
 
 	private static final long RESTORE_MILLIS = 30;
 
+	private static final long SHUTDOWN_POLL_MILLIS = 20;
+
 	private final GuardId id;
 
 	private final ModelEndpoint endpoint;
@@ -104,6 +106,33 @@
 		}
 	}
 
+	/**
+	 * Asks the process to end. It refuses runs from now on, ends when none is left or at
+	 * the limit, and starts again.
+	 * @param limitMillis the limit in milliseconds
+	 * @param downMillis time until it starts again, in milliseconds
+	 */
+	void stop(long limitMillis, long downMillis) {
+		log("FAULT is asked to end");
+		long stopped = life();
+		postIn(stopped, () -> this.leaseManager.shutDown(now()));
+		endWhenIdle(stopped, clock().nanos() + limitMillis * ModelClock.NANOS_PER_MILLI, downMillis);
+	}
+
+	private void endWhenIdle(long stopped, long endNanos, long downMillis) {
+		clock().afterMillis(SHUTDOWN_POLL_MILLIS, () -> {
+			if (stopped != life()) {
+				return;
+			}
+			if (!isPaused() && (this.leaseManager.isIdle() || clock().nanos() >= endNanos)) {
+				kill();
+				clock().afterMillis(downMillis, this::start);
+				return;
+			}
+			endWhenIdle(stopped, endNanos, downMillis);
+		});
+	}
+
 	@Override
 	void onKilled() {
 		this.killHandlers.forEach(Runnable::run);
--- a/core/src/test/java/io/coriandermux/core/model/ModelLink.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelLink.java
@@ -1,6 +1,7 @@
 package io.coriandermux.core.model;
 
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 
 import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.message.HeldRuns;
@@ -41,6 +42,8 @@
 
 	private final Side secondSide = new Side();
 
+	private BooleanSupplier wanted = () -> true;
+
 	private boolean connected;
 
 	private long connection;
@@ -67,6 +70,7 @@
 						(incarnation) -> guard.onEntryLost(entry.id(), incarnation),
 						(incarnation, message) -> guard.onMessage(entry.id(), incarnation, message)),
 				clock, random);
+		link.wanted = () -> entry.isListed(guard.id());
 		entry.addLink(guard.id(), (message) -> {
 			if (message instanceof StopRun stop && !link.connected) {
 				entry.log("FAULT stop request for " + stop.run() + " is dropped, no connection");
@@ -172,7 +176,8 @@
 		step(this.firstSide, this.first, this.secondSide, this.second, nowNanos);
 		step(this.secondSide, this.second, this.firstSide, this.first, nowNanos);
 		boolean silent = nowNanos - this.firstSide.activityNanos >= SILENCE_NANOS;
-		if ((!this.connected || silent) && nowNanos >= this.nextAttemptNanos && isServing(this.first.process())) {
+		if ((!this.connected || silent) && nowNanos >= this.nextAttemptNanos && isServing(this.first.process())
+				&& this.wanted.getAsBoolean()) {
 			this.nextAttemptNanos = nowNanos + RECONNECT_NANOS;
 			if (isServing(this.second.process()) && nowNanos >= this.firstSide.silentUntilNanos
 					&& nowNanos >= this.secondSide.silentUntilNanos) {
--- a/core/src/test/java/io/coriandermux/core/model/ModelTrace.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelTrace.java
@@ -13,7 +13,7 @@
 
 	private final ModelClock clock;
 
-	private final List<String> lines = new ArrayList<>();
+	private final List<Line> lines = new ArrayList<>();
 
 	ModelTrace(ModelClock clock) {
 		this.clock = clock;
@@ -21,7 +21,7 @@
 
 	void add(String subject, String text) {
 		if (this.lines.size() < MAX_LINES) {
-			this.lines.add(String.format(Locale.ROOT, "%9.1f %s: %s", this.clock.elapsedMillis(), subject, text));
+			this.lines.add(new Line(this.clock.elapsedMillis(), subject, text));
 		}
 	}
 
@@ -31,13 +31,22 @@
 	 * @return the lines in the order of time
 	 */
 	List<String> about(String batch) {
-		return this.lines.stream()
+		return lines().stream()
 			.filter((line) -> line.contains("FAULT") || line.contains(batch + ".") || line.contains(batch + " "))
 			.toList();
 	}
 
 	List<String> lines() {
-		return List.copyOf(this.lines);
+		return this.lines.stream().map(Line::toString).toList();
+	}
+
+	private record Line(double elapsedMillis, String subject, String text) {
+
+		@Override
+		public String toString() {
+			return String.format(Locale.ROOT, "%9.1f %s: %s", this.elapsedMillis, this.subject, this.text);
+		}
+
 	}
 
 }
