--- a/soak/src/test/java/io/coriandermux/soak/Cluster.java
+++ b/soak/src/test/java/io/coriandermux/soak/Cluster.java
@@ -51,7 +51,7 @@
 
 	private final Path folder;
 
-	private final RunObserver observer;
+	private final StartWatch starts;
 
 	private final ProxyLoop proxies = new ProxyLoop();
 
@@ -74,6 +74,10 @@
 	/** The links between entries, by the entry that accepts them. */
 	private final List<FaultProxy> entryLinks = new ArrayList<>();
 
+	private final List<Optional<FaultProxy>> endpointLinks = new ArrayList<>();
+
+	private final List<Optional<FaultProxy>> guardLinks = new ArrayList<>();
+
 	private final List<SystemProcess> entries = new ArrayList<>();
 
 	private final List<Integer> callerPorts = new ArrayList<>();
@@ -98,7 +102,7 @@
 		this.random = random;
 		this.capacity = capacity;
 		this.folder = folder;
-		this.observer = observer;
+		this.starts = new StartWatch(observer);
 		this.proxyInterval = 1 + (entryCount * guardCount - 1) / MAX_PROXIED_LINKS;
 		Files.createDirectories(folder);
 		for (int number = 1; number <= entryCount; number++) {
@@ -122,6 +126,28 @@
 		return this.remoteLinks;
 	}
 
+	StartWatch starts() {
+		return this.starts;
+	}
+
+	/**
+	 * Returns the link from a guard to its endpoint.
+	 * @param guard index of the guard
+	 * @return the link, empty if it has no proxy
+	 */
+	Optional<FaultProxy> endpointLink(int guard) {
+		return this.endpointLinks.get(guard);
+	}
+
+	/**
+	 * Returns the link from the entries to a guard.
+	 * @param guard index of the guard
+	 * @return the link, empty if it has no proxy
+	 */
+	Optional<FaultProxy> guardLink(int guard) {
+		return this.guardLinks.get(guard);
+	}
+
 	List<FaultProxy> entryLinks() {
 		return this.entryLinks;
 	}
@@ -179,11 +205,14 @@
 		int reportsPort = freePort();
 		int peerPort = freePort();
 		int operatorsPort = freePort();
+		Optional<FaultProxy> endpointLink = isNextProxied() ? Optional.of(addProxy(endpointPort)) : Optional.empty();
+		this.endpointLinks.add(endpointLink);
 		String settings = settingsJson(name, peerPort, operatorsPort, "\"endpoint\":\"http://127.0.0.1:"
-				+ (isNextProxied() ? addProxy(endpointPort).port() : endpointPort) + "\",\"maxLeaseMillis\":1000");
+				+ endpointLink.map(FaultProxy::port).orElse(endpointPort) + "\",\"maxLeaseMillis\":1000");
+		this.guardLinks.add(Optional.ofNullable(this.peerProxies.get(peerPort)));
 		this.guards.add(createProcess(name, "guard", "127.0.0.1:" + reportsPort, operatorsPort, settings));
 		this.endpoints.add(new RunnerStandIn(name.replace("guard", "endpoint"), SERVICE, this.capacity, endpointPort,
-				URI.create("http://127.0.0.1:" + reportsPort), this.observer, this.random.nextLong()));
+				URI.create("http://127.0.0.1:" + reportsPort), this.starts, this.random.nextLong()));
 	}
 
 	private String settingsJson(String name, int peerPort, int operatorsPort, String rest) throws IOException {
--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -118,7 +118,13 @@
 		 * Single requests are held until their callers have come back to other entries,
 		 * and then delivered to the first one.
 		 */
-		HOLD_REQUESTS;
+		HOLD_REQUESTS,
+
+		/**
+		 * The guard of a run that has just started is paused, cut off from its endpoint,
+		 * from the entries in one direction or from the store, restarted or shut down.
+		 */
+		SILENT_GUARD;
 
 		/** Whether the fault affects many processes or endpoints at once. */
 		boolean isWidespread() {
@@ -135,7 +141,7 @@
 		 * only, so that the plans of earlier seeds stay as they are.
 		 */
 		boolean isDrawnOnSite() {
-			return this != CUT_HALF_OPEN && this != RESTART_HALF_OPEN && this != HOLD_REQUESTS;
+			return this != CUT_HALF_OPEN && this != RESTART_HALF_OPEN && this != HOLD_REQUESTS && this != SILENT_GUARD;
 		}
 
 		/** Whether the fault needs callers that connect through the balancer. */
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -89,6 +89,8 @@
 
 	private final LongConsumer disturbance;
 
+	private final SilentGuards silentGuards;
+
 	/**
 	 * Creates the faults of a run.
 	 * @param cluster the processes
@@ -104,6 +106,7 @@
 		this.checker = checker;
 		this.trace = trace;
 		this.disturbance = disturbance;
+		this.silentGuards = new SilentGuards(cluster, scheduler, checker, trace, disturbance);
 	}
 
 	void inject(Fault fault) throws IOException, InterruptedException {
@@ -125,6 +128,7 @@
 				case FREEZE_RESET -> freeze(choice);
 				case PAUSE_HALF_OPEN -> pauseHalfOpen(choice);
 				case HOLD_REQUESTS -> holdRequests(choice);
+				case SILENT_GUARD -> this.silentGuards.strikeNext(choice);
 				default -> throw new IllegalArgumentException("no fault of the sites: " + fault.kind());
 			}
 			sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
--- a/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
@@ -16,6 +16,7 @@
 import io.coriandermux.platform.standin.JobsClient;
 import io.coriandermux.platform.standin.RunObserver;
 import io.coriandermux.platform.standin.RunnerStandIn;
+import io.coriandermux.platform.standin.StoreStandIn;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,6 +36,8 @@
 
 	private final BlockingQueue<String> orders = new LinkedBlockingQueue<>();
 
+	private int lastStatus;
+
 	@Example
 	void aResetBreaksTheRequestOfACaller() throws Exception {
 		JobsClient caller = new JobsClient();
@@ -88,6 +91,29 @@
 		}
 	}
 
+	@Example
+	void theEndOfALeaseRemovesTheKeysThatWereWrittenUnderIt() throws Exception {
+		try (StoreStandIn store = new StoreStandIn((value) -> value)) {
+			String lease = send(store, "/v1/kv-lease", "{\"ttlMs\":60000}").replaceAll(".*\"leaseId\":(\\d+).*", "$1");
+			send(store, "/v1/kv-txn", "{\"puts\":[{\"key\":\"members/guard-1\",\"value\":\"\",\"leaseId\":" + lease
+					+ "},{\"key\":\"members/guard-11\",\"value\":\"\"}]}");
+			store.revokeLeases("/guard-1");
+			assertThat(send(store, "/v1/kv-range?prefix=members&after=", "")).contains("\"members/guard-11\"")
+				.doesNotContain("\"members/guard-1\"");
+			assertThat(send(store, "/v1/kv-keep/" + lease, "")).isEqualTo("{}");
+			assertThat(this.lastStatus).isEqualTo(404);
+		}
+	}
+
+	private String send(StoreStandIn store, String path, String body) throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + store.port() + path))
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build();
+		HttpResponse<String> reply = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+		this.lastStatus = reply.statusCode();
+		return reply.body();
+	}
+
 	private static int freePort() throws IOException {
 		try (ServerSocket probe = new ServerSocket(0)) {
 			return probe.getLocalPort();
