Let answers overtake each other and entries stand still beside silent guards

The answers of the model's endpoints took under 1 ms, so none overtook another one, and no entry stood still at the moment at which a guard fell silent. LATE_ANSWERS delays one answer in four by up to 200 ms, ENTRY_PAUSE pauses the entry that has requested the run for up to 1.5 s.

--- a/core/src/test/java/io/coriandermux/core/model/ModelEndpoint.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelEndpoint.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.coriandermux.core.id.PoolName;
 import io.coriandermux.core.lease.ActiveRun;
@@ -72,6 +73,8 @@
 	private Consumer<RunId> startListener = (run) -> {
 	};
 
+	private LongSupplier answerDelayMillis = () -> 0;
+
 	private EndpointIncarnation incarnation;
 
 	private boolean up = true;
@@ -118,6 +121,14 @@
 		this.startListener = value;
 	}
 
+	/**
+	 * Sets by how much answers are late. They may overtake each other.
+	 * @param value returns the delay of an answer in milliseconds
+	 */
+	void setAnswerDelay(LongSupplier value) {
+		this.answerDelayMillis = value;
+	}
+
 	List<RunId> activeRuns() {
 		return List.copyOf(this.active.keySet());
 	}
@@ -255,7 +266,7 @@
 		this.active.forEach((run, execution) -> runs.add(new ActiveRun(run, percent(execution))));
 		PollAnswer contents = new PollAnswer(clockMillis(), this.incarnation.startedAtMillis(), runs,
 				List.copyOf(this.ended));
-		this.clock.after(callNanos(), () -> waiting.answer()
+		this.clock.after(answerNanos(), () -> waiting.answer()
 			.onAnswer(OrderResult.ACCEPTED, OptionalLong.of(contents.clockMillis()), Optional.of(contents)));
 	}
 
@@ -306,7 +317,11 @@
 
 	private void answer(CallAnswer answer, OrderResult result) {
 		OptionalLong reading = OptionalLong.of(clockMillis());
-		this.clock.after(callNanos(), () -> answer.onAnswer(result, reading, Optional.empty()));
+		this.clock.after(answerNanos(), () -> answer.onAnswer(result, reading, Optional.empty()));
+	}
+
+	private long answerNanos() {
+		return callNanos() + this.answerDelayMillis.getAsLong() * ModelClock.NANOS_PER_MILLI;
 	}
 
 	private long callNanos() {
--- a/core/src/test/java/io/coriandermux/core/model/SilentGuardPlan.java
+++ b/core/src/test/java/io/coriandermux/core/model/SilentGuardPlan.java
@@ -59,6 +59,13 @@
 
 	private static final long LATE_RANGE_MILLIS = 10_000;
 
+	/** Orders without an answer after 150 ms count as unanswered. */
+	private static final long MAX_ANSWER_DELAY_MILLIS = 200;
+
+	private static final int LATE_ANSWERS = 4;
+
+	private static final long MAX_ENTRY_PAUSE_MILLIS = 1_500;
+
 	/** Callers wait for 1.5 s. */
 	private static final long WAIT_MILLIS = 1_500;
 
@@ -117,6 +124,9 @@
 		long endNanos = this.model.clock().nanos() + LOAD_MILLIS * ModelClock.NANOS_PER_MILLI;
 		for (ModelGuard guard : this.model.guards()) {
 			guard.endpoint().setFates(this::fate);
+			if (this.surroundings.contains(Surroundings.LATE_ANSWERS)) {
+				guard.endpoint().setAnswerDelay(this::answerDelayMillis);
+			}
 			guard.endpoint().setStartListener((run) -> onStarted(guard, run, endNanos));
 		}
 		submitPeriodically(endNanos);
@@ -201,6 +211,14 @@
 				.afterMillis(this.random.nextLong(HELD_RANGE_MILLIS),
 						() -> this.model.callers().deliverEarlierRequest(run.batch(), pick(this.model.entries())));
 		}
+		if (this.surroundings.contains(Surroundings.ENTRY_PAUSE)) {
+			boolean withInput = this.random.nextBoolean();
+			long millis = 1 + this.random.nextLong(MAX_ENTRY_PAUSE_MILLIS);
+			this.model.callers()
+				.entryOf(run.batch())
+				.filter(ModelEntry::isUp)
+				.ifPresent((entry) -> entry.pause(millis, withInput));
+		}
 		if (this.surroundings.contains(Surroundings.CALLERS_RETURN)) {
 			boolean told = this.random.nextBoolean();
 			this.model.callers().entryOf(run.batch()).ifPresent((entry) -> {
@@ -214,6 +232,10 @@
 		}
 	}
 
+	private long answerDelayMillis() {
+		return (this.random.nextInt(LATE_ANSWERS) != 0) ? 0 : this.random.nextLong(MAX_ANSWER_DELAY_MILLIS);
+	}
+
 	private OrderFate fate(OrderKind kind, RunId run) {
 		if (!this.surroundings.contains(Surroundings.UNANSWERED_ORDERS)
 				|| this.random.nextDouble() >= UNANSWERED_SHARE) {
--- a/core/src/test/java/io/coriandermux/core/model/Surroundings.java
+++ b/core/src/test/java/io/coriandermux/core/model/Surroundings.java
@@ -17,6 +17,12 @@
 	/** 4% of the orders are not answered and carried out 2 to 12 s later. */
 	UNANSWERED_ORDERS,
 
+	/** Answers of endpoints are late by up to 200 ms and overtake each other. */
+	LATE_ANSWERS,
+
+	/** The entry that has requested the run stands still for up to 1.5 s. */
+	ENTRY_PAUSE,
+
 	/** The processes have run for less than 15 s. */
 	YOUNG,
 
