Send heartbeats of another writer in the soak

FOREIGN_HEARTBEATS, by its name only, derives heartbeats from those of the endpoints: with another id, a later start, both, or a field that is missing or mistyped.

--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
+import io.coriandermux.platform.standin.RunnerStandIn;
+
 /**
  * Faults as on the sites of the users: a platform that restarts what ends, paths of
  * callers that break on one side, and VMs that stand still for longer than callers wait.
@@ -129,6 +131,7 @@
 				case PAUSE_HALF_OPEN -> pauseHalfOpen(choice);
 				case HOLD_REQUESTS -> holdRequests(choice);
 				case SILENT_GUARD -> this.silentGuards.strikeNext(choice);
+				case FOREIGN_HEARTBEATS -> sendForeignHeartbeats(choice);
 				default -> throw new IllegalArgumentException("no fault of the sites: " + fault.kind());
 			}
 			sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
@@ -182,6 +185,17 @@
 		endAfter(millis, () -> paths.forEach((path) -> path.release(seed + path.port())));
 	}
 
+	private void sendForeignHeartbeats(Random choice) {
+		int percent = 10 + choice.nextInt(91);
+		List<RunnerStandIn> endpoints = this.cluster.endpoints()
+			.stream()
+			.filter((endpoint) -> choice.nextInt(100) < percent)
+			.toList();
+		RunnerStandIn.ForeignHeartbeat[] kinds = RunnerStandIn.ForeignHeartbeat.values();
+		this.disturbance.accept(0);
+		endpoints.forEach((endpoint) -> endpoint.sendForeignHeartbeat(kinds[choice.nextInt(kinds.length)]));
+	}
+
 	private void cutHalfOpen(Random choice) throws InterruptedException {
 		List<FaultProxy> links = new ArrayList<>(this.cluster.entryLinks());
 		if (links.size() > 1 && choice.nextBoolean()) {
