List a guard again whose link returns before its announcement

An entry dropped a guard from the list of those that know claims when its announcement had expired and its link was lost. When the link returned before the announcement, which takes up to 2 s, the entry placed runs at the guard but asked it neither for claims nor for take-overs. Other entries still counted it, so two entries selected different keepers for a batch, and a take-over could end while the guard had runs of the batch.

The last announcement of a guard is kept, and the guard is listed while it is announced or connected.

ClaimPeersTests: the two new tests fail without the change ([g1], [] instead of [g1], [], [g1]) and pass with it.

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/ClaimPeers.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/ClaimPeers.java
@@ -44,7 +44,10 @@
 
 	private final Consumer<Set<GuardId>> onListed;
 
-	/** Last announcement of each guard that is announced or connected. */
+	/**
+	 * Last announcement of each guard. It is kept when the guard is neither announced nor
+	 * connected, because the link may return before the announcement does.
+	 */
 	private final Map<PeerName, Member> announced = new LinkedHashMap<>();
 
 	private final Map<PeerName, Connection> connections = new LinkedHashMap<>();
@@ -91,6 +94,7 @@
 		Connection connection = new Connection(peer, nowNanos);
 		this.connections.put(peer.name(), connection);
 		resolveFromAnnouncement(connection);
+		update();
 	}
 
 	/**
@@ -153,9 +157,9 @@
 	private void update() {
 		// An announcement may expire while the store is unavailable, so a connected guard
 		// stays listed.
-		this.announced.keySet().removeIf((name) -> !this.stored.contains(name) && !this.connections.containsKey(name));
 		Set<GuardId> current = this.announced.values()
 			.stream()
+			.filter((member) -> this.stored.contains(member.name()) || this.connections.containsKey(member.name()))
 			.filter(ClaimPeers::knowsClaims)
 			.map((member) -> new GuardId(member.name().id()))
 			.collect(Collectors.toUnmodifiableSet());
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/ClaimPeersTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/ClaimPeersTests.java
@@ -144,6 +144,33 @@
 		assertThat(this.lists).containsExactly(Set.of(GUARD_ID), Set.of());
 	}
 
+	// Guards against a guard with runs that is asked neither for claims nor for
+	// take-overs:
+	// its link returns while its announcement has expired.
+	@Example
+	void listsAGuardAgainWhoseLinkReturnsBeforeItsAnnouncement() {
+		this.guards.onMembers(List.of(member(FORMER, 3)));
+		this.guards.onConnected(FORMER, 0);
+		this.guards.onMembers(List.of());
+		this.guards.onLost(FORMER);
+		this.guards.onConnected(FORMER, 1);
+		assertThat(this.lists).containsExactly(Set.of(GUARD_ID), Set.of(), Set.of(GUARD_ID));
+		this.guards.send(GUARD, CLAIM);
+		assertThat(this.sent).containsExactly(CLAIM);
+	}
+
+	@Example
+	void listsARestartedGuardWhoseLinkReturnsBeforeItsAnnouncement() {
+		this.guards.onMembers(List.of(member(FORMER, 3)));
+		this.guards.onMembers(List.of());
+		this.guards.onConnected(NEXT, 1);
+		assertThat(this.lists).last().isEqualTo(Set.of(GUARD_ID));
+		this.guards.send(GUARD, CLAIM);
+		assertThat(this.sent).isEmpty();
+		this.guards.tick(1 + WAIT_NANOS);
+		assertThat(this.sent).containsExactly(CLAIM);
+	}
+
 	@Example
 	void keepsAGuardThatIsAnnouncedButNotConnected() {
 		this.guards.onMembers(List.of(member(NEXT, 3)));
