Ask a connected entry about a batch although it is not listed

An entry asks all other entries about a batch when most of its keepers don't answer. It counted only those that the last list contained, so it started the batch without the answer of an entry whose link was made before its announcement was read. That entry may have the batch. A connected entry now counts as listed until the next list is applied.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -147,7 +147,10 @@
 		this.peersKnown = true;
 	}
 
+	// The announcement of an entry that has started may be read later than its link is
+	// made, and the entry may already have batches.
 	void onEntryConnected(EntryId entry) {
+		this.peers.list(entry);
 		this.peers.onConnected(entry);
 		this.claims.values().stream().filter((claim) -> claim.isClaiming() && claim.peersAsked).forEach((claim) -> {
 			claim.freePeers.remove(entry);
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimMembers.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimMembers.java
@@ -47,6 +47,14 @@
 		expire(nowNanos);
 	}
 
+	/**
+	 * Adds a process to the list until the next list is applied.
+	 * @param member a process that knows claims
+	 */
+	void list(I member) {
+		this.listed.add(member);
+	}
+
 	void onConnected(I member) {
 		this.connected.add(member);
 		this.absent.remove(member);
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -360,6 +360,26 @@
 		assertThat(this.fixture.starts()).isEmpty();
 	}
 
+	// Guards against a second run of a batch that an entry has whose announcement has not
+	// been read yet.
+	@Example
+	void startsNoBatchWithoutTheAnswerOfAConnectedEntryThatIsNotListed() {
+		this.fixture.dispatcher.onEntriesListed(Set.of(PEER), this.fixture.now());
+		this.fixture.dispatcher.onEntryConnected(PEER, FIRST, this.fixture.now());
+		this.fixture.advance(11_000);
+		this.fixture.dispatcher.onEntryConnected(THIRD, FIRST, this.fixture.now());
+		loseKeepersOf("b1");
+		this.fixture.advance(3_000);
+		this.fixture.peerMessages.clear();
+		CallerRef caller = this.fixture.submit("b1", 1);
+		assertThat(entriesAsked()).containsExactly(PEER, THIRD);
+		answerOfEntry(PEER, true, Optional.empty());
+		assertThat(this.fixture.starts()).isEmpty();
+		answerOfEntry(THIRD, true, Optional.of(new BatchHolder(PEER_CLAIM, 100)));
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
 	// Guards against an entry that starts a batch that it has granted to another one.
 	@Example
 	void startsNoBatchThatItHasGrantedToAnotherEntry() {
