Wait for the answers of all connected keepers before a batch starts

A batch started when two of its three keepers had recorded its claim. Two majorities have a guard in common only if both entries select the same keepers. If their lists of guards differ by one, both are granted a batch that they claim at the same time; if they differ by two, the second entry is granted it at any time, before the answer of the third keeper, which names the first entry, is read.

A majority now waits for the third keeper while it is connected, for 20 ms.

BatchClaimTests: asksThreeGuardsAndStartsAfterTwoAnswers demanded the start after two answers, which is the fault. It is replaced by a start after all three, after two and 20 ms, and after two without a link to the third.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -56,6 +56,13 @@
 	/** The guards answer within a few milliseconds, a loaded VM within some ten. */
 	private static final long KEEPER_TIMEOUT_NANOS = 50 * NANOS_PER_MILLI;
 
+	/**
+	 * Time for which a majority waits for the other keepers. Two entries whose lists of
+	 * guards differ may be granted a batch by majorities without a common guard, but
+	 * mostly share a keeper. One that answers later stands still or is cut off.
+	 */
+	private static final long LAST_KEEPER_TIMEOUT_NANOS = 20 * NANOS_PER_MILLI;
+
 	private static final long PEER_TIMEOUT_NANOS = 200 * NANOS_PER_MILLI;
 
 	private final EntryIncarnation self;
@@ -240,6 +247,7 @@
 
 	private void ask(Claim claim, Moment now) {
 		claim.state = State.CLAIMING;
+		claim.askedNanos = now.nanos();
 		// The entry that has released the batch may have taken it over at all guards.
 		List<GuardId> asked = claim.replaced.isPresent() ? this.guards.connected() : claim.keepers;
 		asked.stream().filter(this.guards::isConnected).forEach((guard) -> ask(claim, guard));
@@ -406,9 +414,9 @@
 
 	private boolean isDecided(Claim claim, Moment now) {
 		return switch (claim.state) {
-			case CLAIMING -> isGrantedByKeepers(claim) || isGrantedByPeers(claim, now);
+			case CLAIMING -> isGrantedByKeepers(claim, now) || isGrantedByPeers(claim, now);
 			case CLAIMING_EVERYWHERE ->
-				isGrantedByKeepers(claim) || isFreeEverywhere(claim) || isGrantedByPeers(claim, now);
+				isGrantedByKeepers(claim, now) || isFreeEverywhere(claim) || isGrantedByPeers(claim, now);
 			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
 					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
 			case UNCLAIMED, GRANTED -> false;
@@ -417,8 +425,13 @@
 
 	// The end that the other entry has announced may be that of an earlier claim, so its
 	// claim is replaced only if no guard has runs of it.
-	private boolean isGrantedByKeepers(Claim claim) {
-		return claim.hasMajority() && (claim.replaced.isEmpty() || isAnsweredEverywhere(claim));
+	private boolean isGrantedByKeepers(Claim claim, Moment now) {
+		return claim.hasMajority() && (claim.replaced.isPresent() ? isAnsweredEverywhere(claim)
+				: isAnsweredByKeepers(claim) || now.nanos() - claim.askedNanos >= LAST_KEEPER_TIMEOUT_NANOS);
+	}
+
+	private boolean isAnsweredByKeepers(Claim claim) {
+		return claim.keepers.stream().filter(this.guards::isConnected).allMatch(claim.free::containsKey);
 	}
 
 	private boolean isAnsweredEverywhere(Claim claim) {
@@ -521,6 +534,8 @@
 
 		private long startedNanos;
 
+		private long askedNanos;
+
 		private boolean peersAsked;
 
 		private long peersAskedNanos;
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -60,13 +60,46 @@
 	}
 
 	@Example
-	void asksThreeGuardsAndStartsAfterTwoAnswers() {
+	void asksThreeGuardsAndStartsAfterTheirAnswers() {
 		this.fixture.submit("b1", 1);
 		List<GuardId> keepers = asked();
 		assertThat(keepers).hasSize(3);
 		answerFree(keepers.get(0));
 		assertThat(this.fixture.starts()).isEmpty();
 		answerFree(keepers.get(2));
+		assertThat(this.fixture.starts()).isEmpty();
+		answerFree(keepers.get(1));
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against a batch that waits for a guard that stands still.
+	@Example
+	void startsAfterTwoAnswersIfTheThirdGuardDoesNotAnswerWithin20Millis() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		this.fixture.advance(10);
+		assertThat(this.fixture.starts()).isEmpty();
+		this.fixture.advance(10);
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against one answer that counts as a majority after the time of the others.
+	@Example
+	void startsNothingAfterOneAnswer() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		this.fixture.advance(100);
+		assertThat(this.fixture.starts()).isEmpty();
+	}
+
+	@Example
+	void startsAfterTwoAnswersIfTheThirdGuardIsNotConnected() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(1));
+		this.fixture.dispatcher.onGuardLost(asked().get(2), DispatcherFixture.INCARNATION, this.fixture.now());
+		this.fixture.dispatcher.placeIfDue(this.fixture.now());
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
--- a/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
+++ b/core/src/test/java/io/coriandermux/core/model/ModelEntry.java
@@ -108,6 +108,15 @@
 		post(() -> this.dispatcher.onCallerDisconnected(caller, now()));
 	}
 
+	/**
+	 * Replaces the list of guards that this entry has read from the store.
+	 * @param guards the guards
+	 */
+	void listGuards(Set<GuardId> guards) {
+		log("FAULT lists " + guards);
+		post(() -> this.dispatcher.onGuardsListed(guards, now()));
+	}
+
 	void onGuardConnected(GuardId guard, Incarnation incarnation) {
 		post(() -> this.dispatcher.onGuardConnected(guard, incarnation));
 	}
