Wait for the last keeper again after the entry has stood still

After a standstill of the entry its timers may run before it has read the answers that have arrived meanwhile. The time for which a majority waits for the third keeper had then passed, and the batch started although the answer that names another entry was there. The time now counts from the first tick after a standstill of 100 ms or more.

BatchClaimTests: waitsForTheThirdGuardAgainAfterItHasStoodStill fails without the change (starts b1.0.0#1) and passes with it.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -65,6 +65,12 @@
 
 	private static final long PEER_TIMEOUT_NANOS = 200 * NANOS_PER_MILLI;
 
+	/**
+	 * Ticks are up to 60 ms apart. After a longer standstill of this entry the answers
+	 * that have arrived meanwhile may not have been read.
+	 */
+	private static final long STANDSTILL_NANOS = 100 * NANOS_PER_MILLI;
+
 	private final EntryIncarnation self;
 
 	private final DispatchChannels channels;
@@ -85,6 +91,8 @@
 
 	private long lastNumber;
 
+	private long tickedNanos;
+
 	/**
 	 * Creates an instance without guards and other entries.
 	 * @param self this entry
@@ -97,6 +105,7 @@
 		this.channels = channels;
 		this.listener = listener;
 		this.startedNanos = now.nanos();
+		this.tickedNanos = now.nanos();
 	}
 
 	void onGuardsListed(Set<GuardId> listed, Moment now) {
@@ -364,6 +373,10 @@
 		this.guards.expire(now.nanos());
 		this.peers.expire(now.nanos());
 		this.granted.expire(now.nanos());
+		if (hasStoodStill(now)) {
+			this.claims.values().forEach((claim) -> claim.askedNanos = now.nanos());
+		}
+		this.tickedNanos = now.nanos();
 		evaluateAll(now);
 	}
 
@@ -427,7 +440,15 @@
 	// claim is replaced only if no guard has runs of it.
 	private boolean isGrantedByKeepers(Claim claim, Moment now) {
 		return claim.hasMajority() && (claim.replaced.isPresent() ? isAnsweredEverywhere(claim)
-				: isAnsweredByKeepers(claim) || now.nanos() - claim.askedNanos >= LAST_KEEPER_TIMEOUT_NANOS);
+				: isAnsweredByKeepers(claim) || isLastKeeperOverdue(claim, now));
+	}
+
+	private boolean isLastKeeperOverdue(Claim claim, Moment now) {
+		return !hasStoodStill(now) && now.nanos() - claim.askedNanos >= LAST_KEEPER_TIMEOUT_NANOS;
+	}
+
+	private boolean hasStoodStill(Moment now) {
+		return now.nanos() - this.tickedNanos >= STANDSTILL_NANOS;
 	}
 
 	private boolean isAnsweredByKeepers(Claim claim) {
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -84,6 +84,43 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against an entry that stands still and starts a batch before it reads the
+	// answer that names another entry.
+	@Example
+	void waitsForTheThirdGuardAgainAfterItHasStoodStill() {
+		CallerRef caller = this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		this.fixture.standStill(150);
+		assertThat(this.fixture.starts()).isEmpty();
+		answerHeld(asked().get(1), PEER_CLAIM, 300);
+		this.fixture.advance(50);
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	@Example
+	void waitsForTheThirdGuardIfItReadsTwoAnswersAfterItHasStoodStill() {
+		this.fixture.submit("b1", 1);
+		this.fixture.skip(150);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		assertThat(this.fixture.starts()).isEmpty();
+		answerHeld(asked().get(1), PEER_CLAIM, 300);
+		this.fixture.advance(50);
+		assertThat(this.fixture.starts()).isEmpty();
+	}
+
+	@Example
+	void startsAfterTwoAnswersWhen20MillisHavePassedSinceAStandstill() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		this.fixture.standStill(100);
+		this.fixture.advance(20);
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
 	// Guards against one answer that counts as a majority after the time of the others.
 	@Example
 	void startsNothingAfterOneAnswer() {
