Count guards that have just been listed as incomplete

An entry forgets a guard after 15 s without a link and an announcement. When the guard returned, it was selected as a keeper at once and answered that it knew of no other entry, although it had not been asked for the claims of batches in progress. If such guards were all keepers of a batch, a second entry was granted it. For 15 s their answers now count like those of guards that may have forgotten claims, so all guards are asked.

The guards of the first list are exempt: an entry that has just started knows no earlier list, and would ask all guards for each batch.

DifferentGuardListsTests: aBatchRunsAtOneEntryAlthoughMostGuardsAreListedAgainAfterItsClaim fails without the change (batch 2, 27 ms after the claim) and passes with it.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -322,7 +322,8 @@
 	}
 
 	void onAnswer(GuardId guard, ClaimAnswer answer, Moment now) {
-		this.guards.recordCompleteness(guard, answer.complete());
+		boolean complete = answer.complete() && !this.guards.hasJustJoined(guard, now.nanos());
+		this.guards.recordCompleteness(guard, complete);
 		Claim claim = this.claims.get(answer.batch());
 		if (claim == null || claim.number != answer.number() || !claim.isClaiming() || !claim.asked.contains(guard)) {
 			return;
@@ -331,7 +332,7 @@
 			this.listener.onHeld(claim.batch, answer.holder().get(), now);
 			return;
 		}
-		claim.free.put(guard, answer.complete());
+		claim.free.put(guard, complete);
 		evaluate(claim, now);
 	}
 
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimMembers.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimMembers.java
@@ -30,6 +30,11 @@
 	/** Processes without a link, with the time since which there is none. */
 	private final Map<I, Long> absent = new LinkedHashMap<>();
 
+	/**
+	 * Processes that were not known when others were, with the time since which they are.
+	 */
+	private final Map<I, Long> joined = new LinkedHashMap<>();
+
 	/** Processes that have said that they may have forgotten claims. */
 	private final Set<I> incomplete = new LinkedHashSet<>();
 
@@ -39,6 +44,12 @@
 	 * @param nowNanos the current time on the monotonic clock
 	 */
 	void onListed(Set<I> members, long nowNanos) {
+		Set<I> known = known();
+		if (!known.isEmpty()) {
+			members.stream()
+				.filter((member) -> !known.contains(member))
+				.forEach((member) -> this.joined.put(member, nowNanos));
+		}
 		this.listed.clear();
 		this.listed.addAll(members);
 		members.stream()
@@ -71,6 +82,19 @@
 		this.absent.entrySet()
 			.removeIf(
 					(member) -> !this.listed.contains(member.getKey()) && nowNanos - member.getValue() >= FORGET_NANOS);
+		this.joined.values().removeIf((since) -> nowNanos - since >= FORGET_NANOS);
+	}
+
+	/**
+	 * Returns whether a process was not known a short time ago. It was not asked for the
+	 * claims of batches that are in progress.
+	 * @param member the process
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return whether claims that were made before it was known may matter
+	 */
+	boolean hasJustJoined(I member, long nowNanos) {
+		Long since = this.joined.get(member);
+		return since != null && nowNanos - since < FORGET_NANOS;
 	}
 
 	void recordCompleteness(I member, boolean complete) {
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -370,6 +370,37 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against guards that were not asked for the claims of batches in progress,
+	// and
+	// outnumber the keepers that were.
+	@Example
+	void asksAllGuardsWhileMostKeepersHaveJustBeenListed() {
+		DispatcherFixture joining = new DispatcherFixture();
+		joining.dispatcher.applyRoutes(DispatcherFixture.routes(1, "/q/"));
+		joining.dispatcher.onGuardsListed(ids("g1"), joining.now());
+		joining.dispatcher.onGuardsListed(ids(GUARDS), joining.now());
+		Arrays.stream(GUARDS).forEach((guard) -> joining.connectGuard(guard, DispatcherFixture.CAPACITY, Set.of()));
+		joining.advance(14_990);
+		joining.submit("b1", 1);
+		answerAllAsked(joining, BATCH);
+		assertThat(joining.starts()).isEmpty();
+		assertThat(asked(joining)).hasSize(GUARDS.length);
+		joining.advance(10);
+		joining.sentMessages.clear();
+		joining.submit("b2", 1);
+		answerAllAsked(joining, new BatchId("b2"));
+		assertThat(joining.starts()).hasSize(1);
+	}
+
+	private static void answerAllAsked(DispatcherFixture fixture, BatchId batch) {
+		List<DispatcherFixture.SentMessage> claims = fixture.sentMessages.stream()
+			.filter((sent) -> sent.message() instanceof ClaimBatch)
+			.toList();
+		claims.forEach((sent) -> fixture.dispatcher.onMessage(sent.guard(), DispatcherFixture.INCARNATION,
+				new ClaimAnswer(batch, ((ClaimBatch) sent.message()).number(), true, Optional.empty()), fixture.now()));
+		fixture.dispatcher.placeIfDue(fixture.now());
+	}
+
 	// Guards against two entries that are cut off from each other, each with some of the
 	// guards, and that both take the guards on the other side for lost.
 	@Example
--- a/core/src/test/java/io/coriandermux/core/model/DifferentGuardListsTests.java
+++ b/core/src/test/java/io/coriandermux/core/model/DifferentGuardListsTests.java
@@ -20,6 +20,8 @@
 
 	private static final int BATCHES = 12;
 
+	private static final int RETURN_BATCHES = 20;
+
 	private static final long RUN_MILLIS = 1_000;
 
 	/** Time after which an entry forgets a guard that is neither listed nor connected. */
@@ -51,9 +53,36 @@
 		}
 	}
 
+	// Guards against guards that are listed again after a batch was claimed: they know no
+	// claim of the time in which they were away, and outnumber those that do.
+	@Example
+	void aBatchRunsAtOneEntryAlthoughMostGuardsAreListedAgainAfterItsClaim() {
+		for (int batch = 0; batch < RETURN_BATCHES; batch++) {
+			for (long delayMillis : new long[] { 27, 215 }) {
+				assertOneRunIfGuardsReturn(Set.of(3, 4, 5, 6), batch, delayMillis);
+			}
+		}
+	}
+
+	private static void assertOneRunIfGuardsReturn(Set<Integer> away, int batch, long delayMillis) {
+		ClusterModel cluster = cluster(batch, away.size() + 3);
+		cluster.entries().forEach((entry) -> remove(cluster, entry, away));
+		cluster.advance(FORGET_MILLIS);
+		cluster.submit(cluster.entry(0), "job" + batch, RUN_MILLIS);
+		cluster.advance(20);
+		cluster.entries().forEach((entry) -> {
+			entry.listGuards(guards(cluster, Set.of()));
+			away.forEach((guard) -> cluster.link(entry, cluster.guards().get(guard)).reset(1));
+		});
+		cluster.advance(delayMillis);
+		cluster.submit(cluster.entry(1), "job" + batch, RUN_MILLIS);
+		cluster.advance(4_000);
+		assertNoTaskRanTwice(cluster, away + " return, batch " + batch + " after " + delayMillis + " ms");
+	}
+
 	private static void assertOneRunIfGuardsAreMissing(Set<Integer> missing, long delayMillis) {
 		for (int batch = 0; batch < BATCHES; batch++) {
-			ClusterModel cluster = cluster(batch);
+			ClusterModel cluster = cluster(batch, GUARDS);
 			remove(cluster, cluster.entry(1), missing);
 			cluster.advance(FORGET_MILLIS);
 			submitToBoth(cluster, "job" + batch, delayMillis);
@@ -69,9 +98,9 @@
 		cluster.advance(4_000);
 	}
 
-	private static ClusterModel cluster(int batch) {
+	private static ClusterModel cluster(int batch, int guards) {
 		// Seeds that are not a multiple of 4 start with guards that know all claims.
-		ClusterModel cluster = new ClusterModel(4 * batch + 1, 2, GUARDS, 2);
+		ClusterModel cluster = new ClusterModel(4 * batch + 1, 2, guards, 2);
 		cluster.advance(1_000);
 		return cluster;
 	}
