--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -56,8 +56,21 @@
 	/** The guards answer within a few milliseconds, a loaded VM within some ten. */
 	private static final long KEEPER_TIMEOUT_NANOS = 50 * NANOS_PER_MILLI;
 
+	/**
+	 * Time for which a majority waits for the other keepers. Two entries whose lists of
+	 * guards differ may be granted a batch by majorities without a common guard, but
+	 * mostly share a keeper. One that answers later stands still or is cut off.
+	 */
+	private static final long LAST_KEEPER_TIMEOUT_NANOS = 20 * NANOS_PER_MILLI;
+
 	private static final long PEER_TIMEOUT_NANOS = 200 * NANOS_PER_MILLI;
 
+	/**
+	 * Ticks are up to 60 ms apart. After a longer standstill of this entry the answers
+	 * that have arrived meanwhile may not have been read.
+	 */
+	private static final long STANDSTILL_NANOS = 100 * NANOS_PER_MILLI;
+
 	private final EntryIncarnation self;
 
 	private final DispatchChannels channels;
@@ -78,6 +91,8 @@
 
 	private long lastNumber;
 
+	private long tickedNanos;
+
 	/**
 	 * Creates an instance without guards and other entries.
 	 * @param self this entry
@@ -90,6 +105,7 @@
 		this.channels = channels;
 		this.listener = listener;
 		this.startedNanos = now.nanos();
+		this.tickedNanos = now.nanos();
 	}
 
 	void onGuardsListed(Set<GuardId> listed, Moment now) {
@@ -147,7 +163,10 @@
 		this.peersKnown = true;
 	}
 
+	// The announcement of an entry that has started may be read later than its link is
+	// made, and the entry may already have batches.
 	void onEntryConnected(EntryId entry) {
+		this.peers.list(entry);
 		this.peers.onConnected(entry);
 		this.claims.values().stream().filter((claim) -> claim.isClaiming() && claim.peersAsked).forEach((claim) -> {
 			claim.freePeers.remove(entry);
@@ -237,6 +256,7 @@
 
 	private void ask(Claim claim, Moment now) {
 		claim.state = State.CLAIMING;
+		claim.askedNanos = now.nanos();
 		// The entry that has released the batch may have taken it over at all guards.
 		List<GuardId> asked = claim.replaced.isPresent() ? this.guards.connected() : claim.keepers;
 		asked.stream().filter(this.guards::isConnected).forEach((guard) -> ask(claim, guard));
@@ -302,7 +322,8 @@
 	}
 
 	void onAnswer(GuardId guard, ClaimAnswer answer, Moment now) {
-		this.guards.recordCompleteness(guard, answer.complete());
+		boolean complete = answer.complete() && !this.guards.hasJustJoined(guard, now.nanos());
+		this.guards.recordCompleteness(guard, complete);
 		Claim claim = this.claims.get(answer.batch());
 		if (claim == null || claim.number != answer.number() || !claim.isClaiming() || !claim.asked.contains(guard)) {
 			return;
@@ -311,7 +332,7 @@
 			this.listener.onHeld(claim.batch, answer.holder().get(), now);
 			return;
 		}
-		claim.free.put(guard, answer.complete());
+		claim.free.put(guard, complete);
 		evaluate(claim, now);
 	}
 
@@ -353,6 +374,10 @@
 		this.guards.expire(now.nanos());
 		this.peers.expire(now.nanos());
 		this.granted.expire(now.nanos());
+		if (hasStoodStill(now)) {
+			this.claims.values().forEach((claim) -> claim.askedNanos = now.nanos());
+		}
+		this.tickedNanos = now.nanos();
 		evaluateAll(now);
 	}
 
@@ -403,9 +428,9 @@
 
 	private boolean isDecided(Claim claim, Moment now) {
 		return switch (claim.state) {
-			case CLAIMING -> isGrantedByKeepers(claim) || isGrantedByPeers(claim, now);
+			case CLAIMING -> isGrantedByKeepers(claim, now) || isGrantedByPeers(claim, now);
 			case CLAIMING_EVERYWHERE ->
-				isGrantedByKeepers(claim) || isFreeEverywhere(claim) || isGrantedByPeers(claim, now);
+				isGrantedByKeepers(claim, now) || isFreeEverywhere(claim) || isGrantedByPeers(claim, now);
 			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
 					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
 			case UNCLAIMED, GRANTED -> false;
@@ -414,8 +439,21 @@
 
 	// The end that the other entry has announced may be that of an earlier claim, so its
 	// claim is replaced only if no guard has runs of it.
-	private boolean isGrantedByKeepers(Claim claim) {
-		return claim.hasMajority() && (claim.replaced.isEmpty() || isAnsweredEverywhere(claim));
+	private boolean isGrantedByKeepers(Claim claim, Moment now) {
+		return claim.hasMajority() && (claim.replaced.isPresent() ? isAnsweredEverywhere(claim)
+				: isAnsweredByKeepers(claim) || isLastKeeperOverdue(claim, now));
+	}
+
+	private boolean isLastKeeperOverdue(Claim claim, Moment now) {
+		return !hasStoodStill(now) && now.nanos() - claim.askedNanos >= LAST_KEEPER_TIMEOUT_NANOS;
+	}
+
+	private boolean hasStoodStill(Moment now) {
+		return now.nanos() - this.tickedNanos >= STANDSTILL_NANOS;
+	}
+
+	private boolean isAnsweredByKeepers(Claim claim) {
+		return claim.keepers.stream().filter(this.guards::isConnected).allMatch(claim.free::containsKey);
 	}
 
 	private boolean isAnsweredEverywhere(Claim claim) {
@@ -518,6 +556,8 @@
 
 		private long startedNanos;
 
+		private long askedNanos;
+
 		private boolean peersAsked;
 
 		private long peersAskedNanos;
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -60,13 +60,83 @@
 	}
 
 	@Example
-	void asksThreeGuardsAndStartsAfterTwoAnswers() {
+	void asksThreeGuardsAndStartsAfterTheirAnswers() {
 		this.fixture.submit("b1", 1);
 		List<GuardId> keepers = asked();
 		assertThat(keepers).hasSize(3);
 		answerFree(keepers.get(0));
 		assertThat(this.fixture.starts()).isEmpty();
 		answerFree(keepers.get(2));
+		assertThat(this.fixture.starts()).isEmpty();
+		answerFree(keepers.get(1));
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against a batch that waits for a guard that stands still.
+	@Example
+	void startsAfterTwoAnswersIfTheThirdGuardDoesNotAnswerWithin20Millis() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		this.fixture.advance(10);
+		assertThat(this.fixture.starts()).isEmpty();
+		this.fixture.advance(10);
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against an entry that stands still and starts a batch before it reads the
+	// answer that names another entry.
+	@Example
+	void waitsForTheThirdGuardAgainAfterItHasStoodStill() {
+		CallerRef caller = this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		this.fixture.standStill(150);
+		assertThat(this.fixture.starts()).isEmpty();
+		answerHeld(asked().get(1), PEER_CLAIM, 300);
+		this.fixture.advance(50);
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
+	@Example
+	void waitsForTheThirdGuardIfItReadsTwoAnswersAfterItHasStoodStill() {
+		this.fixture.submit("b1", 1);
+		this.fixture.skip(150);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		assertThat(this.fixture.starts()).isEmpty();
+		answerHeld(asked().get(1), PEER_CLAIM, 300);
+		this.fixture.advance(50);
+		assertThat(this.fixture.starts()).isEmpty();
+	}
+
+	@Example
+	void startsAfterTwoAnswersWhen20MillisHavePassedSinceAStandstill() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(2));
+		this.fixture.standStill(100);
+		this.fixture.advance(20);
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	// Guards against one answer that counts as a majority after the time of the others.
+	@Example
+	void startsNothingAfterOneAnswer() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		this.fixture.advance(100);
+		assertThat(this.fixture.starts()).isEmpty();
+	}
+
+	@Example
+	void startsAfterTwoAnswersIfTheThirdGuardIsNotConnected() {
+		this.fixture.submit("b1", 1);
+		answerFree(asked().get(0));
+		answerFree(asked().get(1));
+		this.fixture.dispatcher.onGuardLost(asked().get(2), DispatcherFixture.INCARNATION, this.fixture.now());
+		this.fixture.dispatcher.placeIfDue(this.fixture.now());
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
@@ -300,6 +370,37 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against guards that were not asked for the claims of batches in progress,
+	// and
+	// outnumber the keepers that were.
+	@Example
+	void asksAllGuardsWhileMostKeepersHaveJustBeenListed() {
+		DispatcherFixture joining = new DispatcherFixture();
+		joining.dispatcher.applyRoutes(DispatcherFixture.routes(1, "/q/"));
+		joining.dispatcher.onGuardsListed(ids("g1"), joining.now());
+		joining.dispatcher.onGuardsListed(ids(GUARDS), joining.now());
+		Arrays.stream(GUARDS).forEach((guard) -> joining.connectGuard(guard, DispatcherFixture.CAPACITY, Set.of()));
+		joining.advance(14_990);
+		joining.submit("b1", 1);
+		answerAllAsked(joining, BATCH);
+		assertThat(joining.starts()).isEmpty();
+		assertThat(asked(joining)).hasSize(GUARDS.length);
+		joining.advance(10);
+		joining.sentMessages.clear();
+		joining.submit("b2", 1);
+		answerAllAsked(joining, new BatchId("b2"));
+		assertThat(joining.starts()).hasSize(1);
+	}
+
+	private static void answerAllAsked(DispatcherFixture fixture, BatchId batch) {
+		List<DispatcherFixture.SentMessage> claims = fixture.sentMessages.stream()
+			.filter((sent) -> sent.message() instanceof ClaimBatch)
+			.toList();
+		claims.forEach((sent) -> fixture.dispatcher.onMessage(sent.guard(), DispatcherFixture.INCARNATION,
+				new ClaimAnswer(batch, ((ClaimBatch) sent.message()).number(), true, Optional.empty()), fixture.now()));
+		fixture.dispatcher.placeIfDue(fixture.now());
+	}
+
 	// Guards against two entries that are cut off from each other, each with some of the
 	// guards, and that both take the guards on the other side for lost.
 	@Example
@@ -360,6 +461,26 @@
 		assertThat(this.fixture.starts()).isEmpty();
 	}
 
+	// Guards against a second run of a batch that an entry has whose announcement has not
+	// been read yet.
+	@Example
+	void startsNoBatchWithoutTheAnswerOfAConnectedEntryThatIsNotListed() {
+		this.fixture.dispatcher.onEntriesListed(Set.of(PEER), this.fixture.now());
+		this.fixture.dispatcher.onEntryConnected(PEER, FIRST, this.fixture.now());
+		this.fixture.advance(11_000);
+		this.fixture.dispatcher.onEntryConnected(THIRD, FIRST, this.fixture.now());
+		loseKeepersOf("b1");
+		this.fixture.advance(3_000);
+		this.fixture.peerMessages.clear();
+		CallerRef caller = this.fixture.submit("b1", 1);
+		assertThat(entriesAsked()).containsExactly(PEER, THIRD);
+		answerOfEntry(PEER, true, Optional.empty());
+		assertThat(this.fixture.starts()).isEmpty();
+		answerOfEntry(THIRD, true, Optional.of(new BatchHolder(PEER_CLAIM, 100)));
+		assertThat(this.fixture.starts()).isEmpty();
+		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.UNFINISHED);
+	}
+
 	// Guards against an entry that starts a batch that it has granted to another one.
 	@Example
 	void startsNoBatchThatItHasGrantedToAnotherEntry() {
