--- a/cli/src/main/java/io/coriandermux/cli/CoriandermuxCommand.java
+++ b/cli/src/main/java/io/coriandermux/cli/CoriandermuxCommand.java
@@ -1,11 +1,12 @@
 package io.coriandermux.cli;
 
+import io.coriandermux.version.VersionProvider;
 import picocli.CommandLine.Command;
 
 /**
  * The root command, which holds the context of all commands.
  */
-@Command(name = "coriandermux", mixinStandardHelpOptions = true, version = "coriandermux 0.1.0",
+@Command(name = "coriandermux", mixinStandardHelpOptions = true, versionProvider = VersionProvider.class,
 		description = "Operates coriandermux and submits jobs to it.",
 		footer = "Exit codes are explained in docs/operators.md.",
 		subcommands = { RoutesCommand.class, PoolsCommand.class, AuditCommand.class, JobCommand.class,
--- a/cli/src/test/java/io/coriandermux/cli/HelpTests.java
+++ b/cli/src/test/java/io/coriandermux/cli/HelpTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.coriandermux.version.ProgramVersion;
 import net.jqwik.api.Example;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.ArgSpec;
@@ -14,7 +15,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against commands and options without a description in the help.
+ * Guards against commands and options without a description in the help, and against a
+ * wrong version.
  */
 class HelpTests {
 
@@ -36,6 +38,11 @@
 		assertThat(commands).hasSizeGreaterThan(20);
 	}
 
+	@Example
+	void theVersionIsThatOfTheProgram() {
+		assertThat(CliRun.of("--version").out.strip()).isEqualTo("coriandermux " + ProgramVersion.current());
+	}
+
 	@Example
 	void helpExitsWithOkAndInvalidCommandLinesWithUsage() {
 		assertThat(CliRun.of("routes edit --help").code).isZero();
--- a/daemon/src/main/java/io/coriandermux/daemon/Daemon.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/Daemon.java
@@ -9,6 +9,7 @@
 import io.coriandermux.daemon.settings.EntryProcessSettings;
 import io.coriandermux.daemon.settings.GuardProcessSettings;
 import io.coriandermux.daemon.settings.SettingsReader;
+import io.coriandermux.version.VersionProvider;
 import io.coriandermux.wire.SystemTime;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -17,7 +18,8 @@
 /**
  * Command line that starts an entry or a guard.
  */
-@Command(name = "coriandermuxd", mixinStandardHelpOptions = true, description = "Starts an entry or a guard.")
+@Command(name = "coriandermuxd", mixinStandardHelpOptions = true, versionProvider = VersionProvider.class,
+		description = "Starts an entry or a guard.")
 public final class Daemon {
 
 	private Daemon() {
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
@@ -30,6 +30,7 @@
 import io.coriandermux.daemon.run.ProcessContext;
 import io.coriandermux.daemon.settings.ProcessSettings;
 import io.coriandermux.store.Store;
+import io.coriandermux.version.ProgramVersion;
 import io.coriandermux.wire.HeartbeatRevisions;
 import io.coriandermux.wire.LinkEventLoop;
 import io.coriandermux.wire.LinkListener;
@@ -102,8 +103,10 @@
 				new HttpPortOptions(1, settings.connections(), MAX_OPERATOR_BODY_BYTES),
 				new OperatorsHandler(new Operators(status)));
 		this.context.log()
-			.record(LogEvent.STARTED, this.self.name().toString(), "operators at port " + this.operators.port()
-					+ ", links at port " + this.links.port() + ", incarnation " + this.context.incarnation().value());
+			.record(LogEvent.STARTED, this.self.name().toString(),
+					"operators at port " + this.operators.port() + ", links at port " + this.links.port()
+							+ ", incarnation " + this.context.incarnation().value() + ", version "
+							+ ProgramVersion.current());
 	}
 
 	ProcessContext context() {
--- a/daemon/src/main/java/io/coriandermux/daemon/entry/EntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/entry/EntryShell.java
@@ -42,6 +42,7 @@
 import io.coriandermux.daemon.run.Shell;
 import io.coriandermux.daemon.settings.EntryProcessSettings;
 import io.coriandermux.store.StoreException;
+import io.coriandermux.version.ProgramVersion;
 import io.coriandermux.wire.HeartbeatRevisions;
 import io.coriandermux.wire.LinkEventLoop;
 import io.coriandermux.wire.LinkListener;
@@ -124,8 +125,9 @@
 				new HttpPortOptions(1, settings.process().connections(), MAX_OPERATORS_BODY_BYTES),
 				new OperatorsHandler(new Operators()));
 		this.context.log()
-			.record(LogEvent.STARTED, "entry " + settings.process().id(), "callers at port " + this.callers.port()
-					+ ", operators at port " + this.operators.port() + ", links at port " + this.links.port());
+			.record(LogEvent.STARTED, "entry " + settings.process().id(),
+					"callers at port " + this.callers.port() + ", operators at port " + this.operators.port()
+							+ ", links at port " + this.links.port() + ", version " + ProgramVersion.current());
 	}
 
 	/**
--- a/daemon/src/main/java/io/coriandermux/daemon/guard/GuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/guard/GuardShell.java
@@ -38,6 +38,7 @@
 import io.coriandermux.store.KvEntry;
 import io.coriandermux.store.StoreClient;
 import io.coriandermux.store.StoreException;
+import io.coriandermux.version.ProgramVersion;
 import io.coriandermux.wire.HeartbeatRevisions;
 import io.coriandermux.wire.LinkEventLoop;
 import io.coriandermux.wire.LinkListener;
@@ -119,8 +120,8 @@
 				new HttpPortOptions(1, process.connections(), MAX_OPERATORS_BODY_BYTES),
 				new OperatorsHandler(new Operators()));
 		this.context.log()
-			.record(LogEvent.STARTED, "guard " + process.id(),
-					"operators at port " + this.operators.port() + ", links at port " + this.links.port());
+			.record(LogEvent.STARTED, "guard " + process.id(), "operators at port " + this.operators.port()
+					+ ", links at port " + this.links.port() + ", version " + ProgramVersion.current());
 	}
 
 	@Override
--- a/daemon/src/main/java/io/coriandermux/daemon/http/OperatorsHandler.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/http/OperatorsHandler.java
@@ -6,8 +6,11 @@
 
 import com.codahale.metrics.json.MetricsModule;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.coriandermux.core.id.OwnerId;
+import io.coriandermux.version.ProgramVersion;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
@@ -67,8 +70,8 @@
 
 	private void handleResource(HttpServerExchange exchange, String resource) {
 		switch (resource) {
-			case "status" -> query(exchange,
-					() -> this.service.status((status) -> executeOnIoThread(exchange, () -> send(exchange, status))));
+			case "status" -> query(exchange, () -> this.service
+				.status((status) -> executeOnIoThread(exchange, () -> sendStatus(exchange, status))));
 			case "metrics" -> send(exchange, this.service.metrics());
 			case "events" -> send(exchange, this.service.events());
 			case "drain" -> {
@@ -88,6 +91,14 @@
 		});
 	}
 
+	private void sendStatus(HttpServerExchange exchange, Object status) {
+		JsonNode state = this.json.valueToTree(status);
+		if (state instanceof ObjectNode fields) {
+			fields.put("program", ProgramVersion.current().toString());
+		}
+		send(exchange, state);
+	}
+
 	private void sendExplanation(HttpServerExchange exchange, Optional<Object> explanation) {
 		if (explanation.isEmpty()) {
 			sendError(exchange, StatusCodes.NOT_FOUND, "the job is not known here");
--- a/daemon/src/main/java/io/coriandermux/daemon/run/ProcessContext.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/ProcessContext.java
@@ -10,6 +10,7 @@
 import io.coriandermux.daemon.settings.ProcessSettings;
 import io.coriandermux.store.StoreClient;
 import io.coriandermux.store.StoreException;
+import io.coriandermux.version.ProgramVersion;
 import io.coriandermux.wire.HeartbeatRevisions;
 import io.coriandermux.wire.LinkContext;
 import io.coriandermux.wire.LinkEventLoop;
@@ -46,7 +47,9 @@
 	 */
 	public static ProcessContext create(ProcessSettings settings, TimeSource time) {
 		EventLog log = new EventLog(settings.id(), time);
-		return new ProcessContext(settings, new Incarnation(time.now().epochMillis()), time, log, new ProcessMetrics(),
+		ProcessMetrics metrics = new ProcessMetrics();
+		metrics.registerText("version", () -> ProgramVersion.current().toString());
+		return new ProcessContext(settings, new Incarnation(time.now().epochMillis()), time, log, metrics,
 				new StoreHealth(log));
 	}
 
--- a/daemon/src/main/java/io/coriandermux/daemon/run/ProcessMetrics.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/ProcessMetrics.java
@@ -38,6 +38,15 @@
 		this.registry.timer(name).update(nanos, TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Registers a gauge with a text.
+	 * @param name name of the gauge
+	 * @param value supplies the text; called by any thread
+	 */
+	public void registerText(String name, Supplier<String> value) {
+		this.registry.register(name, (Gauge<String>) value::get);
+	}
+
 	/**
 	 * Registers a gauge.
 	 * @param name name of the gauge
--- a/daemon/src/test/java/io/coriandermux/daemon/PortAbuseTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/PortAbuseTests.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.coriandermux.version.ProgramVersion;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -85,6 +86,10 @@
 		assertThat(get(port, "/status")).contains("\"partitions\":1024");
 		assertThat(get(port, "/events")).contains("STARTED");
 		assertThat(get(port, "/metrics")).contains("callers.requests");
+		String version = ProgramVersion.current().toString();
+		assertThat(get(port, "/status")).contains("\"program\":\"" + version + "\"");
+		assertThat(get(port, "/events")).contains(version);
+		assertThat(get(port, "/metrics")).contains("\"version\":{\"value\":\"" + version + "\"}");
 		assertThat(get(port, "/explain/guild/" + id)).contains("\"outcome\":\"COMPLETE\"").contains("\"guard\":\"g0\"");
 		assertThat(get(port, "/explain/other/" + id)).contains("not known");
 		this.cluster.submit(0, TestCluster.jobBody(1, 1).replace("{\"sleepMs\":1}", "{\"fail\":true}"));
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchProcessTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchProcessTests.java
@@ -18,6 +18,7 @@
 import io.coriandermux.daemon.log.RecentEvent;
 import io.coriandermux.daemon.run.DecisionLoop;
 import io.coriandermux.daemon.settings.ProcessSettings;
+import io.coriandermux.version.ProgramVersion;
 import io.coriandermux.wire.LinkListener;
 import io.coriandermux.wire.PeerIdentity;
 import io.coriandermux.wire.PeerName;
@@ -29,7 +30,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a request to stop a run that is lost without a record.
+ * Guards against a request to stop a run that is lost without a record, and against a
+ * record whose version is unknown.
  */
 class BatchProcessTests {
 
@@ -85,6 +87,14 @@
 		assertThat(timer.getSnapshot().getMax()).isEqualTo(5_000_000);
 	}
 
+	@Example
+	void namesItsVersionAtTheStartAndWithTheMetrics() {
+		assertThat(this.process.context().log().recentEvents())
+			.anySatisfy((event) -> assertThat(event.detail()).contains("version " + ProgramVersion.current()));
+		assertThat(this.process.context().metrics().registry().getGauges().get("version").getValue())
+			.isEqualTo(ProgramVersion.current().toString());
+	}
+
 	private long count(String name) {
 		return this.process.context().metrics().registry().counter(name).getCount();
 	}
