Log at the guard how a run ended and how long its endpoint was silent

Change: 2507 ORPHAN_STOPPED and 2714 END_NOT_HELD name the poll, its age, the endpoint's clock in the answer, and the recorded end of the run with its proof. 2510 RUN_NOT_DONE and 2513 RUN_REFUSED name the incarnation of the entry and the claim. 2514 ENDPOINT_SILENT and 2515 ENDPOINT_ANSWERS report a silence of 0.5 s or more once, with runs and lease.

Two tests of RunNoticesTests state the whole text of 2714, which is longer now; they compare it as strictly as before.

--- a/core/src/main/java/io/coriandermux/core/lease/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/lease/BatchClaims.java
@@ -190,6 +190,21 @@
 		return holder;
 	}
 
+	/**
+	 * Describes the claim of a batch for operators. A guard that keeps no claims of the
+	 * batch has none.
+	 * @param batch the batch
+	 * @param owner the entry that has requested runs of the batch
+	 * @return the number of the claim, and its entry if that is another one
+	 */
+	String describeClaim(BatchId batch, EntryIncarnation owner) {
+		ClaimRecord claim = this.claims.get(batch);
+		if (claim == null) {
+			return "no claim here";
+		}
+		return "claim " + claim.number() + (claim.owner().equals(owner) ? "" : " of " + describe(claim.owner()));
+	}
+
 	/**
 	 * Drops the unanswered take-overs of an entry that is lost. Its claims stay in force.
 	 * @param entry the entry
--- a/core/src/main/java/io/coriandermux/core/lease/ClaimRecord.java
+++ b/core/src/main/java/io/coriandermux/core/lease/ClaimRecord.java
@@ -43,6 +43,10 @@
 		return this.owner;
 	}
 
+	long number() {
+		return this.number;
+	}
+
 	/**
 	 * Returns the last take-over of the batch. Earlier ones may still arrive, also after
 	 * the claim has been replaced.
--- a/core/src/main/java/io/coriandermux/core/lease/EndedRunHistory.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EndedRunHistory.java
@@ -2,14 +2,13 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import io.coriandermux.core.id.EntryIncarnation;
 import io.coriandermux.core.message.RunEnded;
 import io.coriandermux.core.run.RunId;
+import io.coriandermux.core.run.RunOutcome;
 
 /**
  * The most recent ends of runs, kept per entry for entries that were disconnected when a
@@ -24,7 +23,7 @@
 
 	private final Map<OwnedRun, RunEnded> ends = new LinkedHashMap<>();
 
-	private final Set<RunId> ordered = new LinkedHashSet<>();
+	private final Map<RunId, OrderedEnd> ordered = new LinkedHashMap<>();
 
 	void add(EntryIncarnation owner, RunEnded ended) {
 		this.ends.put(new OwnedRun(owner, ended.run()), ended);
@@ -40,14 +39,24 @@
 	 * runs by their ids alone, so it may still answer or list this run, and another run
 	 * with the same id would be taken for it.
 	 * @param run the run
+	 * @param end its end
 	 */
-	void addOrdered(RunId run) {
-		this.ordered.add(run);
-		limit(this.ordered);
+	void addOrdered(RunId run, OrderedEnd end) {
+		this.ordered.putIfAbsent(run, end);
+		limit(this.ordered.keySet());
 	}
 
 	boolean wasOrdered(RunId run) {
-		return this.ordered.contains(run);
+		return this.ordered.containsKey(run);
+	}
+
+	/**
+	 * Returns the first recorded end of a run that was ordered at the endpoint.
+	 * @param run the run
+	 * @return the end, empty if none is recorded
+	 */
+	Optional<OrderedEnd> findOrdered(RunId run) {
+		return Optional.ofNullable(this.ordered.get(run));
 	}
 
 	private static void limit(Collection<?> oldestFirst) {
@@ -56,4 +65,16 @@
 		}
 	}
 
+	/**
+	 * End of a run that was ordered at the endpoint.
+	 *
+	 * @param owner the entry that has requested the run
+	 * @param outcome its outcome
+	 * @param proof how the end is known
+	 * @param endedNanos time on the monotonic clock at which it became known
+	 */
+	record OrderedEnd(EntryIncarnation owner, RunOutcome outcome, EndProof proof, long endedNanos) {
+
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -79,6 +79,8 @@
 
 	private final BatchClaims claims;
 
+	private final EndpointSilence silence;
+
 	/** The incarnation that orders are addressed to; null while none is known. */
 	private EndpointIncarnation endpointIncarnation;
 
@@ -138,8 +140,10 @@
 		this.startTimeout = new AnswerTimeout(settings.callMillis());
 		this.sessions = new EntrySessions(settings, entries);
 		this.suspensionDetector = new SuspensionDetector(settings.callMillis());
-		this.runNotices = new RunNotices(settings, this.sessions, this.clock, notices);
-		this.runEndReporter = new RunEndReporter(entries, this.sessions, this.runNotices);
+		EndedRunHistory endedRuns = new EndedRunHistory();
+		this.runNotices = new RunNotices(settings, this.sessions, this.clock, endedRuns, this.polls, notices);
+		this.runEndReporter = new RunEndReporter(entries, this.sessions, endedRuns, this.runNotices);
+		this.silence = new EndpointSilence(notices);
 		this.runs = new RunTable(settings, orders, () -> terms(OptionalLong.empty()), this.polls, this::onRunEnded,
 				this.runNotices);
 		this.leases = new LeaseGranter(settings, this.clock, this.runs, this.sessions);
@@ -291,6 +295,7 @@
 	 */
 	public void onStartAnswered(RunId run, OrderResult result, OptionalLong clockMillis, Moment now) {
 		this.nowNanos = now.nanos();
+		this.silence.onResult(result, now.nanos());
 		recordAnswer(clockMillis, now);
 		Optional<HeldRun> found = this.runs.find(run);
 		boolean overdue = found.map((held) -> held.endStartCall(result != OrderResult.UNANSWERED)).orElse(false);
@@ -419,6 +424,7 @@
 	 */
 	public void onStopAnswered(RunId run, OrderResult result, OptionalLong clockMillis, Moment now) {
 		this.nowNanos = now.nanos();
+		this.silence.onResult(result, now.nanos());
 		recordAnswer(clockMillis, now);
 		Optional<HeldRun> held = this.runs.find(run);
 		// The token does not rise for a stop without an answer. Carried out late, it
@@ -451,6 +457,7 @@
 	 */
 	public void onPollAnswered(Poll poll, OrderResult result, Optional<PollAnswer> answer, Moment now) {
 		this.nowNanos = now.nanos();
+		this.silence.onResult(result, now.nanos());
 		checkForSuspension(now);
 		this.polls.onAnswered(poll);
 		if (result == OrderResult.FENCED) {
@@ -490,6 +497,7 @@
 			this.unreachable = false;
 			sendLoads(true, now);
 		}
+		this.runNotices.beginPollAnswer(poll, answer.get(), now.nanos());
 		boolean noOrphans = this.runs.applyPollAnswer(poll, answer.get(), now.nanos());
 		if (!this.settled && noOrphans) {
 			this.settled = true;
@@ -620,8 +628,8 @@
 	}
 
 	private void refuse(EntryIncarnation sender, EntrySession session, RunId run, RunOutcome reason) {
-		sendNotice(NoticeKind.RUN_REFUSED, run.toString(), reason + ", requested by " + sender.entry() + ", free "
-				+ free() + ", settled " + this.settled + ", session usable " + session.isUsable());
+		sendNotice(NoticeKind.RUN_REFUSED, run.toString(), reason + ", requested by " + describe(sender, run)
+				+ ", free " + free() + ", settled " + this.settled + ", session usable " + session.isUsable());
 		this.runEndReporter.reportRefusal(sender, run, reason);
 		sendLoad(sender.entry(), session);
 	}
@@ -656,6 +664,7 @@
 			this.runs.onLeaseExpired(now.nanos());
 		}
 		this.claims.tick(now.nanos());
+		this.silence.check(needsPoll(), now.nanos(), () -> describeSilence(now));
 		boolean overdue = now.nanos() - this.polls
 			.lastSentNanos() >= (this.settings.pollMillis() + this.settings.callMillis()) * NANOS_PER_MILLI;
 		if (needsPoll() && (!this.polls.isPollPending() || overdue)
@@ -675,6 +684,11 @@
 		}
 	}
 
+	private EndpointSilence.Situation describeSilence(Moment now) {
+		return new EndpointSilence.Situation(this.endpointIncarnation, this.runs.size(),
+				(this.clock.grantedUntilNanos() - now.nanos()) / NANOS_PER_MILLI, this.polls.lastNumber());
+	}
+
 	private long loadIntervalNanos() {
 		return Math.max(MIN_LOAD_INTERVAL_NANOS, this.sessions.size() * NANOS_PER_SECOND / MAX_LOADS_PER_SECOND);
 	}
@@ -802,10 +816,10 @@
 
 	private void onRunEnded(HeldRun held, RunOutcome outcome) {
 		long runMillis = (this.nowNanos - held.requestedNanos) / NANOS_PER_MILLI;
-		this.runEndReporter.reportEnd(held, outcome, runMillis);
+		this.runEndReporter.reportEnd(held, outcome, runMillis, this.nowNanos);
 		if (outcome != RunOutcome.DONE) {
 			sendNotice(NoticeKind.RUN_NOT_DONE, held.run.toString(),
-					outcome + " after " + runMillis + " ms, requested by " + held.entry() + ", start "
+					outcome + " after " + runMillis + " ms, requested by " + describe(held.owner, held.run) + ", start "
 							+ held.startResult() + ", free " + free() + ", proof: " + held.endProof());
 		}
 		this.sessions.markLoadChanged();
@@ -882,6 +896,11 @@
 		}
 	}
 
+	private String describe(EntryIncarnation owner, RunId run) {
+		return owner.entry() + " incarnation " + owner.incarnation().value() + ", "
+				+ this.claims.describeClaim(run.batch(), owner);
+	}
+
 	private void sendNotice(NoticeKind kind, String subject, String detail) {
 		this.notices.accept(new Notice(kind, subject, detail));
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
+++ b/core/src/main/java/io/coriandermux/core/lease/PollTracker.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.NavigableSet;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -15,6 +16,14 @@
 	/** A poll ends within 400 ms, in which the token rises once in 20 ms at most. */
 	private static final int MAX_TOKENS = 32;
 
+	/** More polls than are sent within the timeout of a call. */
+	private static final int MAX_SENT_TIMES = 64;
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	/** Times at which the last polls were sent, by their numbers modulo the length. */
+	private final long[] sentNanos = new long[MAX_SENT_TIMES];
+
 	private long lastSent;
 
 	private long lastAnswered;
@@ -52,6 +61,7 @@
 			}
 		}
 		this.lastSentNanos = nowNanos;
+		this.sentNanos[(int) (this.lastSent % MAX_SENT_TIMES)] = nowNanos;
 		return new Poll(this.lastSent, this.highestReceivedEnd, waitMillis);
 	}
 
@@ -99,6 +109,19 @@
 		return (first != null) ? first.getValue() : 0;
 	}
 
+	/**
+	 * Returns the age of a poll.
+	 * @param poll the poll
+	 * @param nowNanos the current time on the monotonic clock
+	 * @return the time since it was sent in milliseconds, empty if many others were sent
+	 * since
+	 */
+	OptionalLong ageMillis(Poll poll, long nowNanos) {
+		return (this.lastSent - poll.number() < MAX_SENT_TIMES)
+				? OptionalLong.of((nowNanos - this.sentNanos[(int) (poll.number() % MAX_SENT_TIMES)]) / NANOS_PER_MILLI)
+				: OptionalLong.empty();
+	}
+
 	void onAnswered(Poll poll) {
 		this.lastAnswered = Math.max(this.lastAnswered, poll.number());
 	}
--- a/core/src/main/java/io/coriandermux/core/lease/RunEndReporter.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunEndReporter.java
@@ -22,12 +22,13 @@
 
 	private final RunNotices notices;
 
-	private final EndedRunHistory history = new EndedRunHistory();
+	private final EndedRunHistory history;
 
 	/** Answers deferred until no run of a previous guard can be active. */
 	private final Set<OwnedRun> deferred = new LinkedHashSet<>();
 
-	RunEndReporter(EntryChannel entries, EntrySessions sessions, RunNotices notices) {
+	RunEndReporter(EntryChannel entries, EntrySessions sessions, EndedRunHistory history, RunNotices notices) {
+		this.history = history;
 		this.entries = entries;
 		this.sessions = sessions;
 		this.notices = notices;
@@ -38,9 +39,11 @@
 	 * @param held the run
 	 * @param outcome its outcome
 	 * @param runMillis time since the order in milliseconds
+	 * @param nowNanos the current time on the monotonic clock
 	 */
-	void reportEnd(HeldRun held, RunOutcome outcome, long runMillis) {
-		this.history.addOrdered(held.run);
+	void reportEnd(HeldRun held, RunOutcome outcome, long runMillis, long nowNanos) {
+		this.history.addOrdered(held.run,
+				new EndedRunHistory.OrderedEnd(held.owner, outcome, held.endProof(), nowNanos));
 		report(held.owner, new RunEnded(held.run, outcome, runMillis));
 	}
 
--- a/core/src/main/java/io/coriandermux/core/lease/RunNotices.java
+++ b/core/src/main/java/io/coriandermux/core/lease/RunNotices.java
@@ -39,13 +39,23 @@
 
 	private final EndpointClock clock;
 
+	private final EndedRunHistory ended;
+
+	private final PollTracker polls;
+
 	private final Consumer<Notice> notices;
 
+	/** The answer that is being processed; null before the first one. */
+	private AnsweredPoll answeredPoll;
+
 	private boolean outlastsReported;
 
 	private long outlastsReportedNanos;
 
-	RunNotices(LeaseSettings settings, EntrySessions sessions, EndpointClock clock, Consumer<Notice> notices) {
+	RunNotices(LeaseSettings settings, EntrySessions sessions, EndpointClock clock, EndedRunHistory ended,
+			PollTracker polls, Consumer<Notice> notices) {
+		this.ended = ended;
+		this.polls = polls;
 		this.settings = settings;
 		this.sessions = sessions;
 		this.clock = clock;
@@ -161,12 +171,44 @@
 		}
 	}
 
+	/**
+	 * Records the answer to a poll whose runs are reported next.
+	 * @param poll the poll
+	 * @param answer the answer
+	 * @param nowNanos the current time on the monotonic clock
+	 */
+	void beginPollAnswer(Poll poll, PollAnswer answer, long nowNanos) {
+		this.answeredPoll = new AnsweredPoll(poll, answer.clockMillis(), nowNanos);
+	}
+
 	void onOrphan(RunId run, long token) {
-		send(NoticeKind.ORPHAN_STOPPED, run, "active without an order from this guard, token " + token);
+		send(NoticeKind.ORPHAN_STOPPED, run, "active without an order from this guard, token " + token
+				+ describeAnswer() + describeRecordedEnd(run));
 	}
 
 	void onEndNotHeld(EndedRun end) {
-		send(NoticeKind.END_NOT_HELD, end.run(), end.outcome() + ", end number " + end.number());
+		send(NoticeKind.END_NOT_HELD, end.run(),
+				end.outcome() + ", end number " + end.number() + describeAnswer() + describeRecordedEnd(end.run()));
+	}
+
+	// An answer that is older than a later poll may list runs that have ended since.
+	private String describeAnswer() {
+		Poll poll = this.answeredPoll.poll();
+		OptionalLong ageMillis = this.polls.ageMillis(poll, this.answeredPoll.answeredNanos());
+		return ", in the answer to poll " + poll.number() + " of " + this.polls.lastNumber() + " sent "
+				+ (ageMillis.isPresent() ? ageMillis.getAsLong() + " ms" : "long") + " ago, endpoint's clock "
+				+ this.answeredPoll.clockMillis();
+	}
+
+	private String describeRecordedEnd(RunId run) {
+		return this.ended.findOrdered(run)
+			.map((end) -> ", ended here " + millis(this.answeredPoll.answeredNanos() - end.endedNanos()) + " ago as "
+					+ end.outcome() + " for " + describe(end.owner()) + ", proof: " + end.proof())
+			.orElse(", no record of the run");
+	}
+
+	private static String describe(EntryIncarnation entry) {
+		return entry.entry() + " incarnation " + entry.incarnation().value();
 	}
 
 	void onLeaseEnded(EndpointIncarnation endpoint, List<HeldRun> runs, long nowNanos) {
@@ -228,4 +270,15 @@
 		this.notices.accept(new Notice(kind, run.toString(), detail));
 	}
 
+	/**
+	 * An answer to a poll.
+	 *
+	 * @param poll the poll
+	 * @param clockMillis the endpoint's clock in milliseconds
+	 * @param answeredNanos time of the answer on the monotonic clock
+	 */
+	private record AnsweredPoll(Poll poll, long clockMillis, long answeredNanos) {
+
+	}
+
 }
--- a/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
+++ b/core/src/main/java/io/coriandermux/core/notice/NoticeKind.java
@@ -107,6 +107,14 @@
 	 */
 	RUN_REFUSED(2513),
 
+	/**
+	 * The endpoint has given no answer for 0.5 s or more although the guard polls it.
+	 */
+	ENDPOINT_SILENT(2514),
+
+	/** The endpoint answers again after a silence that was reported. */
+	ENDPOINT_ANSWERS(2515),
+
 	/** A batch was accepted. */
 	BATCH_ACCEPTED(2601),
 
@@ -246,7 +254,16 @@
 	HOLDER_LOST(2729),
 
 	/** A guard has answered the claim of a batch with the claim of another entry. */
-	BATCH_CLAIM_DENIED(2730);
+	BATCH_CLAIM_DENIED(2730),
+
+	/**
+	 * The claim of a batch was granted in another way than by a majority of the guards
+	 * that keep it.
+	 */
+	BATCH_CLAIMED(2731),
+
+	/** The guards or entries at which this entry claims batches have changed. */
+	CLAIM_MEMBERS_CHANGED(2732);
 
 	private final int number;
 
--- a/core/src/test/java/io/coriandermux/core/lease/RunNoticesTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/RunNoticesTests.java
@@ -1,8 +1,10 @@
 package io.coriandermux.core.lease;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.coriandermux.core.message.ClaimBatch;
 import io.coriandermux.core.message.HeldRuns;
 import io.coriandermux.core.notice.Notice;
 import io.coriandermux.core.notice.NoticeKind;
@@ -148,7 +150,8 @@
 		assertThat(detail(NoticeKind.ORPHAN_STOPPED)).contains("token 7");
 		this.harness.answerPoll(List.of(new ActiveRun(OTHER_RUN, 1)),
 				List.of(new EndedRun(1, RUN, RunOutcome.STOPPED)));
-		assertThat(detail(NoticeKind.END_NOT_HELD)).isEqualTo("STOPPED, end number 1");
+		assertThat(detail(NoticeKind.END_NOT_HELD)).isEqualTo("STOPPED, end number 1, "
+				+ "in the answer to poll 3 of 3 sent 0 ms ago, endpoint's clock 1000, no record of the run");
 	}
 
 	@Example
@@ -159,7 +162,40 @@
 		this.harness.answerPoll(List.of(), List.of(new EndedRun(1, RUN, RunOutcome.DONE)));
 		this.harness.answerPoll(List.of(), List.of(new EndedRun(1, RUN, RunOutcome.DONE)));
 		assertThat(this.harness.notices(NoticeKind.END_NOT_HELD)).extracting(Notice::detail)
-			.containsExactly("DONE, end number 1");
+			.containsExactly("DONE, end number 1, in the answer to poll 4 of 4 sent 400 ms ago, "
+					+ "endpoint's clock 2200, ended here 370 ms ago as LAPSED for entry-1 incarnation 1, "
+					+ "proof: the lease counts as expired, without an answer of the endpoint");
+	}
+
+	// Guards against a record that does not tell whether a guard stops a run of its
+	// predecessor or one that it has ended itself, and from how old an answer.
+	@Example
+	void namesTheAnswerThatListedAnUnknownRunAndHowItHadEndedHere() {
+		this.harness.startRunning(RUN);
+		Poll old = this.harness.polls.get(this.harness.polls.size() - 1);
+		this.harness.answerPoll(List.of(), List.of(new EndedRun(1, RUN, RunOutcome.DONE)));
+		this.harness.startRunning(OTHER_RUN);
+		this.harness.advance(300);
+		this.harness.leaseManager
+			.onPollAnswered(old, OrderResult.ACCEPTED,
+					Optional.of(new PollAnswer(1, LeaseManagerHarness.ENDPOINT_INCARNATION.startedAtMillis(),
+							List.of(new ActiveRun(RUN, 1), new ActiveRun(OTHER_RUN, 1)), List.of())),
+					this.harness.now());
+		assertThat(detail(NoticeKind.ORPHAN_STOPPED)).isEqualTo("active without an order from this guard, token 7, "
+				+ "in the answer to poll 2 of 3 sent 300 ms ago, endpoint's clock 1, ended here 300 ms ago as DONE for "
+				+ "entry-1 incarnation 1, proof: the end is listed by the endpoint");
+	}
+
+	@Example
+	void namesTheIncarnationAndTheClaimOfTheEntryOfARunThatIsRefusedOrNotDone() {
+		this.harness.leaseManager.onMessage(LeaseManagerHarness.ENTRY, LeaseManagerHarness.ENTRY_INCARNATION,
+				new ClaimBatch(RUN.batch(), 17, 1_000, Optional.empty()), this.harness.now());
+		this.harness.requestStart(RUN);
+		this.harness.answerStart(RUN, OrderResult.NO_ROOM);
+		assertThat(detail(NoticeKind.RUN_NOT_DONE)).contains("requested by entry-1 incarnation 1, claim 17, start ");
+		this.harness.sendHeartbeat(LeaseManagerHarness.ENDPOINT_INCARNATION, true);
+		this.harness.requestStart(OTHER_RUN);
+		assertThat(detail(NoticeKind.RUN_REFUSED)).contains("requested by entry-1 incarnation 1, no claim here, free ");
 	}
 
 	@Example
@@ -182,7 +218,8 @@
 		EntrySessions sessions = new EntrySessions(settings, (entry, message) -> {
 		});
 		sessions.open(LeaseManagerHarness.ENTRY, LeaseManagerHarness.ENTRY_INCARNATION, 0).confirm(0);
-		RunNotices runNotices = new RunNotices(settings, sessions, new EndpointClock(), this.harness.notices::add);
+		RunNotices runNotices = new RunNotices(settings, sessions, new EndpointClock(), new EndedRunHistory(),
+				new PollTracker(), this.harness.notices::add);
 		HeldRun held = new HeldRun(RUN, LeaseManagerHarness.OWNER, 1, LeaseManagerHarness.NEEDS, 7, 0);
 		for (long millis = 800; millis <= 1_800; millis += 100) {
 			runNotices.onLeaseGranted(List.of(held), millis * 1_000_000);
--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
@@ -137,6 +137,9 @@
 			case BATCH_ABANDONED:
 			case RUN_NOT_DONE:
 			case RUN_REFUSED:
+			case ENDPOINT_ANSWERS:
+			case BATCH_CLAIMED:
+			case CLAIM_MEMBERS_CHANGED:
 			case CLAIM_DENIED:
 			case BATCH_TAKE_OVER_GRANTED:
 			case TABLES_IN_FORCE:
