Log at the entry how unusual claims were granted and which guard a retried task had

Change: 2731 BATCH_CLAIMED, only for a claim that was not granted by most of its keepers, names the way, the number, the time, the guards and entries by number and digest, the keepers and who has answered. 2732 CLAIM_MEMBERS_CHANGED has the same digests whenever they change, so usual claims need no line. 2603 TASK_RETRIED names the incarnation of the guard, and for a lost guard the certain end of the run.

Result: BatchClaimTests, BatchNoticesTests, BatchDispatcherTests, BatchHandoverTests and PureDecisionsTests pass.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -74,6 +74,8 @@
 
 	private final Map<BatchId, Claim> claims = new LinkedHashMap<>();
 
+	private final ClaimNotices notices;
+
 	private boolean peersKnown;
 
 	private long lastNumber;
@@ -90,11 +92,13 @@
 		this.channels = channels;
 		this.listener = listener;
 		this.startedNanos = now.nanos();
+		this.notices = new ClaimNotices(self.entry(), this.guards, this.peers, channels.notices());
 	}
 
 	void onGuardsListed(Set<GuardId> listed, Moment now) {
 		List<GuardId> usable = this.guards.connected();
 		this.guards.onListed(listed, now.nanos());
+		this.notices.onMembersChanged(now.nanos());
 		this.guards.connected().stream().filter((guard) -> !usable.contains(guard)).forEach(this::onUsable);
 		if (!this.guards.isEmpty()) {
 			claimUnclaimed(now);
@@ -145,6 +149,7 @@
 	void onEntriesListed(Set<EntryId> listed, Moment now) {
 		this.peers.onListed(listed, now.nanos());
 		this.peersKnown = true;
+		this.notices.onMembersChanged(now.nanos());
 	}
 
 	void onEntryConnected(EntryId entry) {
@@ -229,6 +234,7 @@
 		}
 		if (this.guards.isEmpty()) {
 			claim.state = State.UNCLAIMED;
+			report(claim, "no guard is listed", now);
 			this.listener.onGranted(batch);
 			return;
 		}
@@ -353,6 +359,7 @@
 		this.guards.expire(now.nanos());
 		this.peers.expire(now.nanos());
 		this.granted.expire(now.nanos());
+		this.notices.tick(now.nanos());
 		evaluateAll(now);
 	}
 
@@ -384,6 +391,7 @@
 				this.listener.onTakeOverEnded(claim.batch, now);
 				return;
 			}
+			reportUnusual(claim, now);
 			grant(claim);
 		}
 		else if (isUnreachable(claim, now)) {
@@ -391,6 +399,25 @@
 		}
 	}
 
+	private void reportUnusual(Claim claim, Moment now) {
+		if (claim.takenOver) {
+			report(claim, "after a take-over", now);
+		}
+		else if (!isGrantedByKeepers(claim)) {
+			report(claim, isFreeEverywhere(claim) ? "by all guards" : "by the other entries", now);
+		}
+		else if (claim.replaced.isPresent()) {
+			report(claim, "after a release", now);
+		}
+	}
+
+	private void report(Claim claim, String way, Moment now) {
+		Set<Object> free = new LinkedHashSet<>(claim.free.keySet());
+		free.addAll(claim.freePeers.keySet());
+		this.notices.onGranted(claim.batch, way, "number " + claim.number + " after " + claim.ageMillis(now) + " ms",
+				claim.keepers, free);
+	}
+
 	private void grant(Claim claim) {
 		claim.state = State.GRANTED;
 		this.granted.remove(claim.batch);
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchDispatcher.java
@@ -634,8 +634,12 @@
 		if (task.batch.isAnswered()) {
 			return;
 		}
-		this.notices.send(NoticeKind.TASK_RETRIED, ended.run().toString(), ended.outcome() + " at " + task.guard()
-				+ " after " + (now.nanos() - task.placedNanos()) / NANOS_PER_MILLI + " ms");
+		this.notices.send(NoticeKind.TASK_RETRIED, ended.run().toString(), ended.outcome() + " at "
+				+ describeGuard(task) + " after " + (now.nanos() - task.placedNanos()) / NANOS_PER_MILLI + " ms");
+	}
+
+	private static String describeGuard(BatchTask task) {
+		return task.guard() + " incarnation " + task.guardIncarnation().value();
 	}
 
 	/**
@@ -647,7 +651,10 @@
 		for (BatchTask task : this.placer.placedTasks()) {
 			if (task.certainEndNanos() != 0 && now.nanos() >= task.certainEndNanos()) {
 				this.notices.send(NoticeKind.TASK_RETRIED, task.run().toString(),
-						"guard " + task.guard() + " is lost, the run has ended");
+						"guard " + describeGuard(task) + " is lost, the run has ended, certainly "
+								+ (task.certainEndNanos() - task.placedNanos()) / NANOS_PER_MILLI
+								+ " ms after it was placed, " + (now.nanos() - task.certainEndNanos()) / NANOS_PER_MILLI
+								+ " ms ago");
 				this.notices.send(NoticeKind.RUN_RELEASED, task.run().toString(), "guard " + task.guard()
 						+ " is lost, placed " + (now.nanos() - task.placedNanos()) / NANOS_PER_MILLI + " ms ago");
 				this.placer.removeRun(task.run(), task.guard());
--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchTask.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import io.coriandermux.core.id.GuardId;
+import io.coriandermux.core.id.Incarnation;
 import io.coriandermux.core.run.RunId;
 
 /**
@@ -70,6 +71,14 @@
 		return this.guard;
 	}
 
+	/**
+	 * Returns the incarnation of the guard that the task was sent to last.
+	 * @return the incarnation, not defined before the first run
+	 */
+	Incarnation guardIncarnation() {
+		return this.placedAt.incarnation();
+	}
+
 	/**
 	 * Returns the work at average speed that the run completes per millisecond.
 	 * @return the work in millicores times milliseconds
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -20,6 +20,7 @@
 import io.coriandermux.core.message.ReleaseBatch;
 import io.coriandermux.core.message.TakeOverAnswer;
 import io.coriandermux.core.message.TakeOverBatch;
+import io.coriandermux.core.notice.Notice;
 import io.coriandermux.core.notice.NoticeKind;
 import io.coriandermux.core.run.BatchId;
 import io.coriandermux.core.run.ResourceAmounts;
@@ -70,6 +71,44 @@
 		assertThat(this.fixture.starts()).hasSize(1);
 	}
 
+	// Guards against a line for each batch, and against a record that does not tell how a
+	// claim was granted or whether two entries knew the same guards.
+	@Example
+	void reportsOnlyClaimsThatTheirKeepersHaveNotGranted() {
+		this.fixture.submit("b1", 1);
+		List<GuardId> keepers = asked();
+		answerFree(keepers.get(0));
+		answerFree(keepers.get(2));
+		assertThat(this.fixture.starts()).hasSize(1);
+		assertThat(this.fixture.notices(NoticeKind.BATCH_CLAIMED)).isEmpty();
+	}
+
+	@Example
+	void reportsAClaimWhileNoGuardIsListed() {
+		DispatcherFixture other = new DispatcherFixture();
+		other.dispatcher.applyRoutes(DispatcherFixture.routes(1, "/q/"));
+		other.submit("b1", 1);
+		assertThat(other.notices(NoticeKind.BATCH_CLAIMED)).hasSize(1);
+		assertThat(other.notices(NoticeKind.BATCH_CLAIMED).get(0).detail()).startsWith("no guard is listed, number ")
+			.contains(" after 0 ms, 0 guards (0), 1 entries (");
+	}
+
+	@Example
+	void reportsTheGuardsAndEntriesOfClaimsWhenTheyChange() {
+		DispatcherFixture other = new DispatcherFixture();
+		other.dispatcher.onGuardsListed(ids("g5", "g3", "g1", "g4", "g2"), other.now());
+		String members = other.notices(NoticeKind.CLAIM_MEMBERS_CHANGED).get(0).detail();
+		assertThat(members).startsWith("5 guards (");
+		assertThat(this.fixture.notices(NoticeKind.CLAIM_MEMBERS_CHANGED)).extracting(Notice::detail)
+			.containsExactly("0 guards (0)" + members.substring(members.indexOf(',')), members);
+		other.dispatcher.onGuardsListed(ids("g2", "g1", "g3", "g4", "g5"), other.now());
+		assertThat(other.notices(NoticeKind.CLAIM_MEMBERS_CHANGED)).hasSize(1);
+		other.dispatcher.onGuardsListed(ids("g2", "g1", "g3", "g4"), other.now());
+		other.advance(16_000);
+		assertThat(other.notices(NoticeKind.CLAIM_MEMBERS_CHANGED)).hasSize(2);
+		assertThat(other.notices(NoticeKind.CLAIM_MEMBERS_CHANGED).get(1).detail()).startsWith("4 guards (");
+	}
+
 	@Example
 	void asksTheSameGuardsAtEachEntryWhateverTheOrderOfTheirLinks() {
 		this.fixture.submit("b1", 1);
@@ -113,6 +152,7 @@
 			.hasSize(GUARDS.length);
 		Arrays.stream(GUARDS).forEach((guard) -> answerFree(new GuardId(guard)));
 		assertThat(this.fixture.starts()).hasSize(1);
+		assertClaimed("after a release, number ");
 		this.fixture.endRun(startedAt(), this.fixture.starts().get(0), RunOutcome.DONE);
 		assertThat(this.fixture.verdict(caller)).isEqualTo(BatchVerdict.COMPLETED);
 	}
@@ -158,6 +198,7 @@
 		answerTakeOver(GUARDS[0], true);
 		this.fixture.dispatcher.placeIfDue(this.fixture.now());
 		assertThat(this.fixture.starts()).hasSize(1);
+		assertClaimed("after a take-over, number ");
 		assertThat(this.fixture.verdict(caller)).isNull();
 	}
 
@@ -298,6 +339,7 @@
 		assertThat(this.fixture.starts()).isEmpty();
 		all.stream().filter((guard) -> !keepers.contains(guard)).forEach(this::answerFree);
 		assertThat(this.fixture.starts()).hasSize(1);
+		assertClaimed("by all guards, number ");
 	}
 
 	// Guards against two entries that are cut off from each other, each with some of the
@@ -334,6 +376,7 @@
 		assertThat(this.fixture.starts()).isEmpty();
 		answerOfEntry(THIRD, true, Optional.empty());
 		assertThat(this.fixture.starts()).hasSize(1);
+		assertClaimed("by the other entries, number ");
 	}
 
 	// Guards against a second run: one of the other entries has the batch, has just
@@ -465,6 +508,12 @@
 		assertThat(this.fixture.starts()).isEmpty();
 	}
 
+	private void assertClaimed(String way) {
+		assertThat(this.fixture.notices(NoticeKind.BATCH_CLAIMED)).singleElement()
+			.satisfies((notice) -> assertThat(notice.subject()).isEqualTo(BATCH.value()))
+			.satisfies((notice) -> assertThat(notice.detail()).startsWith(way).contains("keepers g", "answered "));
+	}
+
 	private void connectEntries() {
 		this.fixture.dispatcher.onEntriesListed(Set.of(PEER, THIRD), this.fixture.now());
 		this.fixture.dispatcher.onEntryConnected(PEER, FIRST, this.fixture.now());
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchNoticesTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchNoticesTests.java
@@ -75,6 +75,24 @@
 		assertThat(details(NoticeKind.RUN_RELEASED).get(0)).contains("guard g1 is lost, placed ");
 	}
 
+	// Guards against a record that does not tell whether a task was started again because
+	// of an earlier incarnation of its guard, or too early.
+	@Example
+	void namesTheIncarnationOfTheGuardOfARetriedTaskAndTheCertainEndOfItsRun() {
+		this.fixture.submit("b1", 1);
+		this.fixture.endRun("g1", this.fixture.starts().get(0), RunOutcome.NO_ROOM);
+		assertThat(details(NoticeKind.TASK_RETRIED)).containsExactly("NO_ROOM at g1 incarnation 1 after 0 ms");
+		this.fixture.reportLoad("g1", DispatcherFixture.CAPACITY, DispatcherFixture.CAPACITY, Set.of(), 2);
+		this.fixture.advance(100);
+		assertThat(this.fixture.starts()).hasSize(2);
+		this.fixture.dispatcher.onGuardLost(GUARD, DispatcherFixture.INCARNATION, this.fixture.now());
+		this.fixture.advance(20_000);
+		assertThat(details(NoticeKind.TASK_RETRIED)).hasSize(2);
+		assertThat(details(NoticeKind.TASK_RETRIED).get(1))
+			.matches("guard g1 incarnation 1 is lost, the run has ended, certainly \\d+ ms after it was placed, "
+					+ "\\d+ ms ago");
+	}
+
 	@Example
 	void reportsAnEndThatArrivesAfterTheRunWasReleased() {
 		this.fixture.submit("b1", 1);
