--- a/cli/src/main/java/io/coriandermux/cli/TaskHistory.java
+++ b/cli/src/main/java/io/coriandermux/cli/TaskHistory.java
@@ -24,11 +24,11 @@
 final class TaskHistory {
 
 	/**
-	 * Events that concern all runs of a process: starts, lost peers, and what happened to
-	 * the endpoint and its fencing token.
+	 * Events that concern all runs of a process: starts, standstills, lost peers, and
+	 * what happened to the endpoint and its fencing token or to the keepers of claims.
 	 */
-	private static final Set<Integer> PROCESS_EVENTS = Set.of(1001, 1002, 1003, 2301, 2302, 2501, 2502, 2508, 2509,
-			2511, 2512, 2608, 4001, 4002, 4003);
+	private static final Set<Integer> PROCESS_EVENTS = Set.of(1001, 1002, 1003, 1007, 1008, 2301, 2302, 2501, 2502,
+			2508, 2509, 2511, 2512, 2514, 2515, 2608, 2732, 4001, 4002, 4003);
 
 	/**
 	 * Records of a process belong to the history up to this time before the first and
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchEntryShell.java
@@ -188,7 +188,7 @@
 
 	@Override
 	public void requestDrain() {
-		this.process.requestShutdown();
+		this.process.requestShutdown("a signal");
 	}
 
 	@Override
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchGuardShell.java
@@ -143,7 +143,7 @@
 
 	@Override
 	public void requestDrain() {
-		this.process.requestShutdown();
+		this.process.requestShutdown("a signal");
 	}
 
 	@Override
--- a/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/BatchProcess.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -63,6 +64,11 @@
 
 	private final AtomicBoolean shuttingDown = new AtomicBoolean();
 
+	/** Why the shutdown was requested; null before that. */
+	private final AtomicReference<String> shutdownCause = new AtomicReference<>();
+
+	private volatile long shutdownStartedNanos;
+
 	private HttpPort operators;
 
 	/**
@@ -169,7 +175,12 @@
 		this.shutdownRequested.await();
 	}
 
-	void requestShutdown() {
+	/**
+	 * Requests a graceful shutdown without waiting for it.
+	 * @param cause why it is requested; that of the first request is logged
+	 */
+	void requestShutdown(String cause) {
+		this.shutdownCause.compareAndSet(null, cause);
 		this.shutdownRequested.countDown();
 	}
 
@@ -194,12 +205,16 @@
 		if (!this.shuttingDown.compareAndSet(false, true)) {
 			return true;
 		}
-		this.context.log().record(LogEvent.SHUTDOWN_STARTED, id(), "work in progress continues");
+		this.shutdownStartedNanos = now().nanos();
+		this.context.log()
+			.record(LogEvent.SHUTDOWN_STARTED, id(),
+					"requested by " + this.shutdownCause.get() + ", work in progress continues");
 		long limitMillis = BatchIntervals.shutdownLimitMillis(this.context.settings());
 		this.loop.put(() -> start.accept(limitMillis));
 		long endNanos = now().nanos() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
 		while (now().nanos() < endNanos) {
 			if (evaluateOnDecisionThread(finished)) {
+				this.context.log().record(LogEvent.WORK_ENDED, id(), describeShutdownTime());
 				return true;
 			}
 		}
@@ -229,11 +244,27 @@
 
 	@Override
 	public void close() {
-		this.announcer.stopRenewals();
-		this.loop.close();
-		this.links.close();
-		this.operators.close();
-		this.context.log().record(LogEvent.STOPPED, id(), "all ports are closed");
+		StringBuilder stages = new StringBuilder();
+		close("announcement", this.announcer::stopRenewals, stages);
+		close("decisions", this.loop::close, stages);
+		close("links", this.links::close, stages);
+		close("operators", this.operators::close, stages);
+		this.context.log().record(LogEvent.STOPPED, id(), "all ports are closed, " + describeShutdownTime() + stages);
+	}
+
+	private void close(String stage, Runnable action, StringBuilder stages) {
+		long startNanos = now().nanos();
+		action.run();
+		stages.append(", ")
+			.append(stage)
+			.append(' ')
+			.append(TimeUnit.NANOSECONDS.toMillis(now().nanos() - startNanos))
+			.append(" ms");
+	}
+
+	private String describeShutdownTime() {
+		return isShuttingDown() ? TimeUnit.NANOSECONDS.toMillis(now().nanos() - this.shutdownStartedNanos)
+				+ " ms after the shutdown started" : "without a graceful shutdown";
 	}
 
 	/**
@@ -284,7 +315,7 @@
 
 		@Override
 		public void drain() {
-			requestShutdown();
+			requestShutdown("an operator");
 		}
 
 	}
--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
@@ -29,6 +29,9 @@
 	/** The decision thread stood still. */
 	DECISIONS_STALLED(1007, LogLevel.WARN),
 
+	/** All work has ended during a graceful shutdown; the ports are closed next. */
+	WORK_ENDED(1008, LogLevel.INFO),
+
 	/** The store is unavailable. */
 	STORE_UNAVAILABLE(3001, LogLevel.WARN),
 
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchProcessTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchProcessTests.java
@@ -95,6 +95,34 @@
 			.isEqualTo(ProgramVersion.current().toString());
 	}
 
+	// Guards against a shutdown of which nobody can tell who requested it and what
+	// delayed it.
+	@Example
+	void namesTheCauseAndTheStagesOfAShutdown() {
+		this.process.requestShutdown("a signal");
+		this.process.requestShutdown("an operator");
+		assertThat(this.process.shutDown((limitMillis) -> {
+		}, () -> true, () -> {
+		})).isTrue();
+		this.process.close();
+		assertThat(details("SHUTDOWN_STARTED")).containsExactly("requested by a signal, work in progress continues");
+		assertThat(details("WORK_ENDED")).singleElement().asString().matches("\\d+ ms after the shutdown started");
+		assertThat(details("STOPPED")).singleElement()
+			.asString()
+			.matches("all ports are closed, \\d+ ms after the shutdown started, announcement \\d+ ms, "
+					+ "decisions \\d+ ms, links \\d+ ms, operators \\d+ ms");
+	}
+
+	private List<String> details(String event) {
+		return this.process.context()
+			.log()
+			.recentEvents()
+			.stream()
+			.filter((recent) -> recent.name().equals(event))
+			.map(RecentEvent::detail)
+			.toList();
+	}
+
 	private long count(String name) {
 		return this.process.context().metrics().registry().counter(name).getCount();
 	}
