--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -412,10 +412,8 @@
 	}
 
 	private void report(Claim claim, String way, Moment now) {
-		Set<Object> free = new LinkedHashSet<>(claim.free.keySet());
-		free.addAll(claim.freePeers.keySet());
 		this.notices.onGranted(claim.batch, way, "number " + claim.number + " after " + claim.ageMillis(now) + " ms",
-				claim.keepers, free);
+				claim.keepers, claim.free, claim.freePeers);
 	}
 
 	private void grant(Claim claim) {
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimNotices.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimNotices.java
@@ -1,6 +1,7 @@
 package io.coriandermux.core.dispatch;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -48,13 +49,24 @@
 	 * @param way how it was granted
 	 * @param claim number of the claim and the time that it took
 	 * @param keepers the guards that keep the claims of the batch
-	 * @param free the guards and entries that know of no other entry
+	 * @param free the guards that know of no other entry, with whether they can be sure
+	 * @param freePeers the entries that don't have the batch, with whether they can be
+	 * sure
 	 */
-	void onGranted(BatchId batch, String way, String claim, Collection<GuardId> keepers, Collection<?> free) {
-		String answered = free.stream().map(Object::toString).sorted().collect(Collectors.joining(" "));
-		String asked = keepers.stream().map(GuardId::toString).collect(Collectors.joining(" "));
-		send(NoticeKind.BATCH_CLAIMED, batch.toString(),
-				way + ", " + claim + ", " + describeMembers() + ", keepers " + asked + ", answered " + answered);
+	void onGranted(BatchId batch, String way, String claim, Collection<GuardId> keepers, Map<GuardId, Boolean> free,
+			Map<EntryId, Boolean> freePeers) {
+		String answers = keepers.stream()
+			.map((keeper) -> keeper + " " + describeAnswer(free.get(keeper)))
+			.collect(Collectors.joining(" "));
+		send(NoticeKind.BATCH_CLAIMED, batch.toString(), way + ", " + claim + ", " + describeMembers() + ", keepers "
+				+ answers + ", free at " + free.size() + " guards and " + freePeers.size() + " entries");
+	}
+
+	private static String describeAnswer(Boolean complete) {
+		if (complete == null) {
+			return "silent";
+		}
+		return complete ? "complete" : "incomplete";
 	}
 
 	/**
--- a/core/src/main/java/io/coriandermux/core/lease/EndpointClock.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EndpointClock.java
@@ -109,6 +109,10 @@
 		return this.granted && this.grantedUntilNanos - nanos >= 0;
 	}
 
+	boolean hasGranted() {
+		return this.granted;
+	}
+
 	/**
 	 * Returns the expiry of the lease.
 	 * @return the time on the monotonic clock, not defined before the first grant
--- a/core/src/main/java/io/coriandermux/core/lease/EndpointSilence.java
+++ b/core/src/main/java/io/coriandermux/core/lease/EndpointSilence.java
@@ -1,5 +1,6 @@
 package io.coriandermux.core.lease;
 
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -74,11 +75,11 @@
 		this.reported = true;
 		Situation found = situation.get();
 		this.endpoint = String.valueOf(found.endpoint());
-		send(NoticeKind.ENDPOINT_SILENT,
-				"no answer for " + (nowNanos - this.sinceNanos) / NANOS_PER_MILLI + " ms, "
-						+ ((this.lastFailure != null) ? "last call " + this.lastFailure : "no call has ended") + ", "
-						+ found.runs() + " runs held, lease expires in " + found.leaseMillis() + " ms, last poll "
-						+ found.lastPoll());
+		send(NoticeKind.ENDPOINT_SILENT, "no answer for " + (nowNanos - this.sinceNanos) / NANOS_PER_MILLI + " ms, "
+				+ ((this.lastFailure != null) ? "last call " + this.lastFailure : "no call has ended") + ", "
+				+ found.runs() + " runs held, " + (found.leaseMillis().isPresent()
+						? "lease expires in " + found.leaseMillis().getAsLong() + " ms" : "no lease granted")
+				+ ", last poll " + found.lastPoll());
 	}
 
 	private void restart(long nowNanos) {
@@ -97,10 +98,10 @@
 	 * @param endpoint the incarnation that orders are addressed to
 	 * @param runs number of runs that hold resources
 	 * @param leaseMillis time until every granted lease has expired, in milliseconds,
-	 * negative if it has passed
+	 * negative if it has passed, empty if none was granted
 	 * @param lastPoll number of the last poll
 	 */
-	record Situation(EndpointIncarnation endpoint, int runs, long leaseMillis, long lastPoll) {
+	record Situation(EndpointIncarnation endpoint, int runs, OptionalLong leaseMillis, long lastPoll) {
 
 	}
 
--- a/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
+++ b/core/src/main/java/io/coriandermux/core/lease/LeaseManager.java
@@ -685,8 +685,11 @@
 	}
 
 	private EndpointSilence.Situation describeSilence(Moment now) {
-		return new EndpointSilence.Situation(this.endpointIncarnation, this.runs.size(),
-				(this.clock.grantedUntilNanos() - now.nanos()) / NANOS_PER_MILLI, this.polls.lastNumber());
+		OptionalLong leaseMillis = this.clock.hasGranted()
+				? OptionalLong.of((this.clock.grantedUntilNanos() - now.nanos()) / NANOS_PER_MILLI)
+				: OptionalLong.empty();
+		return new EndpointSilence.Situation(this.endpointIncarnation, this.runs.size(), leaseMillis,
+				this.polls.lastNumber());
 	}
 
 	private long loadIntervalNanos() {
--- a/core/src/test/java/io/coriandermux/core/lease/EndpointSilenceTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/EndpointSilenceTests.java
@@ -34,6 +34,17 @@
 			.contains(" ms, last poll ");
 	}
 
+	@Example
+	void reportsASilenceBeforeTheFirstLease() {
+		LeaseManagerHarness started = new LeaseManagerHarness();
+		started.sendHeartbeat(LeaseManagerHarness.ENDPOINT_INCARNATION, false);
+		started.advance(600);
+		assertThat(started.notices(NoticeKind.ENDPOINT_SILENT)).extracting(Notice::detail)
+			.singleElement()
+			.asString()
+			.contains("0 runs held, no lease granted, last poll ");
+	}
+
 	@Example
 	void namesTheResultOfTheLastCall() {
 		this.harness.startRunning(RUN);
