Write the last records of a process before it ends

Cause: the queue of the log is written by a daemon thread, and the JVM halts when the ports are closed.

Change: the shutdown hook, which waits until the ports are closed, ends the log after that, which writes what is queued (1 s at most).

--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogConfigurator.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogConfigurator.java
@@ -8,6 +8,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
+import org.slf4j.LoggerFactory;
 
 /**
  * Configures Logback to write lines of JSON to standard output through a bounded queue.
@@ -22,6 +23,17 @@
 	 */
 	private static final int QUEUE_SIZE = 4096;
 
+	/**
+	 * Writes the records in the queue and ends the log. Without it, the last records of a
+	 * process, of its shutdown, are lost when the JVM ends. Takes 1 s at most if nobody
+	 * reads standard output.
+	 */
+	public static void close() {
+		if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+			context.stop();
+		}
+	}
+
 	@Override
 	public ExecutionStatus configure(LoggerContext context) {
 		JsonEncoder encoder = new JsonEncoder();
--- a/daemon/src/main/java/io/coriandermux/daemon/run/ProcessRunner.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/run/ProcessRunner.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import io.coriandermux.daemon.log.LogConfigurator;
 import io.coriandermux.daemon.settings.ProcessSettings;
 import io.coriandermux.daemon.settings.SettingsException;
 import io.coriandermux.store.StoreException;
@@ -44,6 +45,7 @@
 		Thread shutdownHook = new Thread(() -> {
 			shell.requestDrain();
 			await(closed, process.settings().drainMillis() + CLOSE_TIMEOUT_MILLIS);
+			LogConfigurator.close();
 		}, "terminated");
 		Runtime.getRuntime().addShutdownHook(shutdownHook);
 		HangUpSignal.install(shell::reload);
