--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -87,6 +87,8 @@
 
 	private final Map<BatchId, Claim> claims = new LinkedHashMap<>();
 
+	private final ClaimNotices notices;
+
 	private boolean peersKnown;
 
 	private long lastNumber;
@@ -106,11 +108,13 @@
 		this.listener = listener;
 		this.startedNanos = now.nanos();
 		this.tickedNanos = now.nanos();
+		this.notices = new ClaimNotices(self.entry(), this.guards, this.peers, channels.notices());
 	}
 
 	void onGuardsListed(Set<GuardId> listed, Moment now) {
 		List<GuardId> usable = this.guards.connected();
 		this.guards.onListed(listed, now.nanos());
+		this.notices.onMembersChanged(now.nanos());
 		this.guards.connected().stream().filter((guard) -> !usable.contains(guard)).forEach(this::onUsable);
 		if (!this.guards.isEmpty()) {
 			claimUnclaimed(now);
@@ -161,6 +165,7 @@
 	void onEntriesListed(Set<EntryId> listed, Moment now) {
 		this.peers.onListed(listed, now.nanos());
 		this.peersKnown = true;
+		this.notices.onMembersChanged(now.nanos());
 	}
 
 	// The announcement of an entry that has started may be read later than its link is
@@ -248,6 +253,7 @@
 		}
 		if (this.guards.isEmpty()) {
 			claim.state = State.UNCLAIMED;
+			report(claim, "no guard is listed", now);
 			this.listener.onGranted(batch);
 			return;
 		}
@@ -378,6 +384,7 @@
 			this.claims.values().forEach((claim) -> claim.askedNanos = now.nanos());
 		}
 		this.tickedNanos = now.nanos();
+		this.notices.tick(now.nanos());
 		evaluateAll(now);
 	}
 
@@ -409,6 +416,7 @@
 				this.listener.onTakeOverEnded(claim.batch, now);
 				return;
 			}
+			reportUnusual(claim, now);
 			grant(claim);
 		}
 		else if (isUnreachable(claim, now)) {
@@ -416,6 +424,23 @@
 		}
 	}
 
+	private void reportUnusual(Claim claim, Moment now) {
+		if (claim.takenOver) {
+			report(claim, "after a take-over", now);
+		}
+		else if (!isGrantedByKeepers(claim, now)) {
+			report(claim, isFreeEverywhere(claim) ? "by all guards" : "by the other entries", now);
+		}
+		else if (claim.replaced.isPresent()) {
+			report(claim, "after a release", now);
+		}
+	}
+
+	private void report(Claim claim, String way, Moment now) {
+		this.notices.onGranted(claim.batch, way, "number " + claim.number + " after " + claim.ageMillis(now) + " ms",
+				claim.keepers, claim.free, claim.freePeers);
+	}
+
 	private void grant(Claim claim) {
 		claim.state = State.GRANTED;
 		this.granted.remove(claim.batch);
--- a/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/log/LogEvent.java
@@ -29,6 +29,9 @@
 	/** The decision thread stood still. */
 	DECISIONS_STALLED(1007, LogLevel.WARN),
 
+	/** All work has ended during a graceful shutdown; the ports are closed next. */
+	WORK_ENDED(1008, LogLevel.INFO),
+
 	/** The store is unavailable. */
 	STORE_UNAVAILABLE(3001, LogLevel.WARN),
 
@@ -137,6 +140,9 @@
 			case BATCH_ABANDONED:
 			case RUN_NOT_DONE:
 			case RUN_REFUSED:
+			case ENDPOINT_ANSWERS:
+			case BATCH_CLAIMED:
+			case CLAIM_MEMBERS_CHANGED:
 			case CLAIM_DENIED:
 			case BATCH_TAKE_OVER_GRANTED:
 			case TABLES_IN_FORCE:
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/BatchProcessTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/BatchProcessTests.java
@@ -18,6 +18,7 @@
 import io.coriandermux.daemon.log.RecentEvent;
 import io.coriandermux.daemon.run.DecisionLoop;
 import io.coriandermux.daemon.settings.ProcessSettings;
+import io.coriandermux.version.ProgramVersion;
 import io.coriandermux.wire.LinkListener;
 import io.coriandermux.wire.PeerIdentity;
 import io.coriandermux.wire.PeerName;
@@ -29,7 +30,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a request to stop a run that is lost without a record.
+ * Guards against a request to stop a run that is lost without a record, and against a
+ * record whose version is unknown.
  */
 class BatchProcessTests {
 
@@ -85,6 +87,42 @@
 		assertThat(timer.getSnapshot().getMax()).isEqualTo(5_000_000);
 	}
 
+	@Example
+	void namesItsVersionAtTheStartAndWithTheMetrics() {
+		assertThat(this.process.context().log().recentEvents())
+			.anySatisfy((event) -> assertThat(event.detail()).contains("version " + ProgramVersion.current()));
+		assertThat(this.process.context().metrics().registry().getGauges().get("version").getValue())
+			.isEqualTo(ProgramVersion.current().toString());
+	}
+
+	// Guards against a shutdown of which nobody can tell who requested it and what
+	// delayed it.
+	@Example
+	void namesTheCauseAndTheStagesOfAShutdown() {
+		this.process.requestShutdown("a signal");
+		this.process.requestShutdown("an operator");
+		assertThat(this.process.shutDown((limitMillis) -> {
+		}, () -> true, () -> {
+		})).isTrue();
+		this.process.close();
+		assertThat(details("SHUTDOWN_STARTED")).containsExactly("requested by a signal, work in progress continues");
+		assertThat(details("WORK_ENDED")).singleElement().asString().matches("\\d+ ms after the shutdown started");
+		assertThat(details("STOPPED")).singleElement()
+			.asString()
+			.matches("all ports are closed, \\d+ ms after the shutdown started, announcement \\d+ ms, "
+					+ "decisions \\d+ ms, links \\d+ ms, operators \\d+ ms");
+	}
+
+	private List<String> details(String event) {
+		return this.process.context()
+			.log()
+			.recentEvents()
+			.stream()
+			.filter((recent) -> recent.name().equals(event))
+			.map(RecentEvent::detail)
+			.toList();
+	}
+
 	private long count(String name) {
 		return this.process.context().metrics().registry().counter(name).getCount();
 	}
