Let the store refuse single processes in the soak

Cause: on the sites the store rejects a part of the processes and removes their announcements; the stand-in could only fail for all of them.

--- a/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxy.java
@@ -55,7 +55,10 @@
 		HOLD_BACK(false, false, false, true),
 
 		/** Bytes and ends in both directions are held. */
-		HOLD(false, false, true, true);
+		HOLD(false, false, true, true),
+
+		/** All connections are reset, also new ones. */
+		REFUSE(false, false, false, false);
 
 		/** The modes of links. Plans of earlier seeds depend on their order. */
 		static final List<Mode> LINK_FAULTS = List.of(DELAY, CUT_FORTH, CUT_BACK, SILENT);
@@ -166,6 +169,9 @@
 		this.loop.execute(() -> {
 			Mode previous = this.mode;
 			this.mode = next;
+			if (next == Mode.REFUSE) {
+				List.copyOf(this.connections).forEach(Connection::reset);
+			}
 			if (next == Mode.PASS && previous != Mode.DELAY) {
 				this.connections.forEach((connection) -> connection.ownMode = previous);
 			}
@@ -242,7 +248,12 @@
 	private void accept() {
 		try {
 			for (SocketChannel client = this.server.accept(); client != null; client = this.server.accept()) {
-				new Connection(client, SocketChannel.open()).connect();
+				if (this.mode == Mode.REFUSE) {
+					Connection.resetChannel(client);
+				}
+				else {
+					new Connection(client, SocketChannel.open()).connect();
+				}
 			}
 		}
 		catch (IOException ex) {
--- a/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
@@ -81,6 +81,23 @@
 		writer.join();
 	}
 
+	@Example
+	void refusesOpenAndNewConnectionsUntilTheFaultIsOver() throws IOException {
+		this.proxy.setMode(FaultProxy.Mode.REFUSE);
+		assertIsReset(this.client);
+		assertIsReset(this.target);
+		try (Socket refused = new Socket(InetAddress.getLoopbackAddress(), this.proxy.port())) {
+			refused.setSoTimeout(QUIET_MILLIS);
+			assertIsReset(refused);
+		}
+		this.proxy.setMode(FaultProxy.Mode.PASS);
+		try (Socket accepted = new Socket(InetAddress.getLoopbackAddress(), this.proxy.port());
+				Socket acceptedTarget = this.server.accept()) {
+			acceptedTarget.setSoTimeout(QUIET_MILLIS);
+			transfer(accepted, acceptedTarget, 1);
+		}
+	}
+
 	@Example
 	void aResetReachesBothSides() {
 		this.proxy.reset();
--- a/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
@@ -16,6 +16,7 @@
 import io.coriandermux.platform.standin.JobsClient;
 import io.coriandermux.platform.standin.RunObserver;
 import io.coriandermux.platform.standin.RunnerStandIn;
+import io.coriandermux.platform.standin.StoreStandIn;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -70,6 +71,25 @@
 		assertThat(resultOfLateStart(true)).contains("-> 200").contains("ms late");
 	}
 
+	@Example
+	void aRevokedAnnouncementIsRemovedAtOnce() throws Exception {
+		try (StoreStandIn store = new StoreStandIn((value) -> value)) {
+			send(store, "/v1/kv-lease", "{\"ttlMs\":60000}");
+			send(store, "/v1/kv-txn", "{\"puts\":[{\"key\":\"members/a\",\"value\":\"\",\"leaseId\":1}]}");
+			send(store, "/v1/kv-txn", "{\"puts\":[{\"key\":\"members/b\",\"value\":\"\",\"leaseId\":0}]}");
+			store.revoke((key) -> key.startsWith("members/"));
+			assertThat(send(store, "/v1/kv-range?prefix=members&after=", "")).contains("members/b")
+				.doesNotContain("members/a");
+		}
+	}
+
+	private static String send(StoreStandIn store, String path, String body) throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + store.port() + path))
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build();
+		return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
+	}
+
 	private String resultOfLateStart(boolean shiftsLeases) throws Exception {
 		int port = freePort();
 		try (RunnerStandIn endpoint = new RunnerStandIn("endpoint", Cluster.SERVICE, 1_000, port,
