--- a/soak/src/test/java/io/coriandermux/soak/ProxyLoop.java
+++ b/soak/src/test/java/io/coriandermux/soak/ProxyLoop.java
@@ -57,6 +57,13 @@
 		return this.maxLagMillis;
 	}
 
+	/**
+	 * Measures the longest delay anew. Before the first request a delay has no effect.
+	 */
+	void forgetLag() {
+		this.maxLagMillis = 0;
+	}
+
 	private void measureLag() {
 		long dueMillis = nowMillis() + LAG_INTERVAL_MILLIS;
 		executeAfter(LAG_INTERVAL_MILLIS, () -> {
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -268,6 +268,7 @@
 			process.start();
 		}
 		sleep(startMillis + COLD_LEAD_MILLIS - this.checker.millis());
+		this.cluster.callerProxies().forgetLag();
 		startCallers();
 		startWatching();
 		return true;
