--- a/soak/src/test/java/io/coriandermux/soak/SoakTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakTests.java
@@ -1,5 +1,7 @@
 package io.coriandermux.soak;
 
+import java.util.Optional;
+
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -16,4 +18,14 @@
 			.isEmpty();
 	}
 
+	// SOAK says that the machine was too busy for the soak itself, which is no fault of
+	// the
+	// processes.
+	@Example
+	void coldProcessesKeepTheGuaranteesAtTheFullRate() throws Exception {
+		assertThat(Soak.runSeed(20_261_206, 5_000, new SoakOptions(2, 3, FaultRange.SINGLE,
+				new SiteCallers.Load(20, 1_500, 65, true), Optional.of(ColdPlan.CUT), 0)))
+			.allMatch((line) -> line.startsWith("SOAK"));
+	}
+
 }
