Play callers that leave early in cold runs

The soak's callers left half open or waited.

Change: the fault GIVE_UP and the plan leave, with an entry that is killed and unanswered orders.

Result: ColdPlanTests and FaultRangeTests pass.

--- a/soak/src/test/java/io/coriandermux/soak/ColdFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/ColdFaults.java
@@ -26,6 +26,9 @@
 
 	private static final int DELAY_RANGE_MILLIS = 10_000;
 
+	/** Half the objective of the jobs of the sites, and the other value of their days. */
+	private static final int[] LEAVE_MILLIS = { 30, 900 };
+
 	private static final int AFFECTED_PERCENT = 35;
 
 	private final Cluster cluster;
@@ -58,6 +61,13 @@
 				sleep(fault.forMillis());
 				this.callers.setRateFactor(1);
 			}
+			case GIVE_UP -> {
+				int maxMillis = LEAVE_MILLIS[fault.target() % LEAVE_MILLIS.length];
+				this.trace.accept("callers leave within " + maxMillis + " ms");
+				this.callers.setLeaving(AFFECTED_PERCENT, maxMillis);
+				sleep(fault.forMillis());
+				this.callers.setLeaving(0, 1);
+			}
 			case UNANSWERED_ORDERS -> delayOrders(fault);
 			case REFUSE_STORE -> refuseStore(fault);
 			case CUT_GUARDS -> cutGuards(fault);
--- a/soak/src/test/java/io/coriandermux/soak/ColdPlan.java
+++ b/soak/src/test/java/io/coriandermux/soak/ColdPlan.java
@@ -25,6 +25,12 @@
 	/** A part of the guards is cut off from the entries and from the store. */
 	CUT,
 
+	/**
+	 * A part of the callers leave early and come back, while an entry is killed and
+	 * orders are not answered.
+	 */
+	LEAVE,
+
 	/** The usual faults of the range. */
 	DRAWN;
 
@@ -78,6 +84,12 @@
 				plan.add(new Fault(3_800, Fault.Kind.BURST, 0, 4_000));
 				plan.add(new Fault(13_100, Fault.Kind.CONFIGURE, 0, 0));
 			}
+			case LEAVE -> {
+				plan.add(new Fault(500, Fault.Kind.BURST, 0, 4_000));
+				plan.add(new Fault(1_000, Fault.Kind.GIVE_UP, random.nextInt(TARGETS), 6_000));
+				plan.add(new Fault(3_000, Fault.Kind.KILL_ENTRY, random.nextInt(TARGETS), 8_000));
+				plan.add(new Fault(4_100, Fault.Kind.UNANSWERED_ORDERS, 0, 5_900));
+			}
 			default -> throw new IllegalStateException("the faults of this plan are drawn from the range");
 		}
 		plan.removeIf((fault) -> fault.atMillis() + JITTER_MILLIS >= faultMillis);
--- a/soak/src/test/java/io/coriandermux/soak/ColdPlanTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/ColdPlanTests.java
@@ -35,7 +35,7 @@
 
 	@Example
 	void faultsEndWithTheRun() {
-		for (ColdPlan plan : List.of(ColdPlan.STORE, ColdPlan.ROLL, ColdPlan.CUT)) {
+		for (ColdPlan plan : List.of(ColdPlan.STORE, ColdPlan.ROLL, ColdPlan.CUT, ColdPlan.LEAVE)) {
 			assertThat(plan.draw(new Random(1), 5_000, 3, 11)).isNotEmpty()
 				.allMatch((fault) -> fault.atMillis() + fault.forMillis() <= 5_000);
 		}
--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -136,7 +136,13 @@
 		REFUSE_STORE,
 
 		/** The links of 35% of the guards to entries and to the store deliver nothing. */
-		CUT_GUARDS;
+		CUT_GUARDS,
+
+		/**
+		 * 35% of the callers leave within 30 ms or 900 ms of a request, and submit the
+		 * job again.
+		 */
+		GIVE_UP;
 
 		/** Whether the fault affects many processes or endpoints at once. */
 		boolean isWidespread() {
@@ -159,7 +165,8 @@
 		/** Whether the fault needs callers that connect through the balancer. */
 		boolean needsBalancer() {
 			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN
-					|| this == CUT_HALF_OPEN || this == RESTART_HALF_OPEN || this == HOLD_REQUESTS || this == BURST;
+					|| this == CUT_HALF_OPEN || this == RESTART_HALF_OPEN || this == HOLD_REQUESTS || this == BURST
+					|| this == GIVE_UP;
 		}
 
 		boolean isPlanned() {
--- a/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
@@ -41,7 +41,8 @@
 	void siteSeedsPlayEachKindThatIsNotPlayedByNameOnly() {
 		Set<Fault.Kind> expected = new HashSet<>(Set.of(Fault.Kind.values()));
 		expected.removeAll(Set.of(Fault.Kind.CUT_HALF_OPEN, Fault.Kind.RESTART_HALF_OPEN, Fault.Kind.HOLD_REQUESTS,
-				Fault.Kind.BURST, Fault.Kind.UNANSWERED_ORDERS, Fault.Kind.REFUSE_STORE, Fault.Kind.CUT_GUARDS));
+				Fault.Kind.BURST, Fault.Kind.UNANSWERED_ORDERS, Fault.Kind.REFUSE_STORE, Fault.Kind.CUT_GUARDS,
+				Fault.Kind.GIVE_UP));
 		assertThat(kindsOfManySeeds("site")).isEqualTo(expected);
 	}
 
--- a/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteCallers.java
@@ -4,11 +4,16 @@
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +62,9 @@
 
 	private static final int MIN_CORES = 16;
 
+	/** Spreads a share of the callers over their numbers. */
+	private static final int SPREAD = 37;
+
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	/**
@@ -95,8 +103,12 @@
 			new SynchronousQueue<>(), (work) -> new Thread(null, work, "caller", STACK_BYTES),
 			(work, executor) -> reportOverflow());
 
+	private final ScheduledExecutorService leaver = Executors.newSingleThreadScheduledExecutor();
+
 	private volatile double rateFactor = 1;
 
+	private volatile Leaving leaving = new Leaving(0, 1);
+
 	private volatile boolean ending;
 
 	/**
@@ -163,6 +175,15 @@
 		arrivals.start();
 	}
 
+	/**
+	 * Sets which callers reset their connection soon after a request.
+	 * @param percent the share of the callers in percent
+	 * @param maxMillis the longest time after the request in milliseconds
+	 */
+	void setLeaving(int percent, int maxMillis) {
+		this.leaving = new Leaving(percent, maxMillis);
+	}
+
 	private void submitJobs() {
 		long startMillis = this.checker.millis();
 		double dueMillis = startMillis;
@@ -222,6 +243,11 @@
 	public void close() {
 		this.ending = true;
 		this.executor.shutdownNow();
+		this.leaver.shutdownNow();
+	}
+
+	/** The callers that reset their connection, and how long after a request. */
+	private record Leaving(int percent, int maxMillis) {
 	}
 
 	/**
@@ -302,6 +328,7 @@
 			boolean wasUndisturbed = SiteCallers.this.undisturbed.getAsBoolean() && process.isAlive();
 			long sentMillis = SiteCallers.this.checker.millis();
 			SiteCallers.this.trace.accept(id + " submitted to " + process.name());
+			Optional<Future<?>> leave = scheduleLeave(id);
 			try {
 				JobsClient.Reply reply = this.client.submit(path.port(), QUEUE_ROUTE, id, tasks, runMillis,
 						SiteCallers.this.load.waitMillis());
@@ -321,6 +348,19 @@
 				}
 				return Attempt.UNANSWERED;
 			}
+			finally {
+				leave.ifPresent((future) -> future.cancel(false));
+			}
+		}
+
+		private Optional<Future<?>> scheduleLeave(String id) {
+			Leaving current = SiteCallers.this.leaving;
+			if (Math.floorMod(this.number * SPREAD, 100) >= current.percent()) {
+				return Optional.empty();
+			}
+			int delayMillis = Math.floorMod(Objects.hash(id, this.entry), current.maxMillis());
+			return Optional
+				.of(SiteCallers.this.leaver.schedule(this.client::reset, delayMillis, TimeUnit.MILLISECONDS));
 		}
 
 		private Attempt toAttempt(String id, JobsClient.Reply reply) {
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -431,7 +431,7 @@
 				case RESTART_SOON, HALF_OPEN_CALLERS, HARM_CALLERS, PAUSE_LONG, FREEZE_RESET, PAUSE_HALF_OPEN,
 						HOLD_REQUESTS ->
 					this.siteFaults.inject(fault);
-				case BURST, UNANSWERED_ORDERS, REFUSE_STORE, CUT_GUARDS -> this.coldFaults.inject(fault);
+				case BURST, UNANSWERED_ORDERS, REFUSE_STORE, CUT_GUARDS, GIVE_UP -> this.coldFaults.inject(fault);
 				default -> impairEndpoint(
 						this.cluster.endpoints().get(fault.target() % this.cluster.endpoints().size()), fault);
 			}
