Lose answers of executed orders in cold runs

Cause: UNANSWERED_ORDERS only delayed orders by 2 to 12 s, while an order without an answer may also have been executed at once.

Change: in one of three cases the orders are carried out within 0.2 s.

--- a/soak/src/test/java/io/coriandermux/soak/ColdFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/ColdFaults.java
@@ -29,6 +29,9 @@
 	/** Half the objective of the jobs of the sites, and the other value of their days. */
 	private static final int[] LEAVE_MILLIS = { 30, 900 };
 
+	/** Orders whose answers are lost are carried out within this time. */
+	private static final int LOST_ANSWER_MILLIS = 200;
+
 	private static final int AFFECTED_PERCENT = 35;
 
 	private final Cluster cluster;
@@ -77,8 +80,10 @@
 
 	private void delayOrders(Fault fault) throws InterruptedException {
 		this.disturbance.accept(fault.forMillis() + MIN_DELAY_MILLIS + DELAY_RANGE_MILLIS);
-		RunnerStandIn.LateOrders late = new RunnerStandIn.LateOrders(UNANSWERED_PERCENT, true, false, MIN_DELAY_MILLIS,
-				DELAY_RANGE_MILLIS);
+		RunnerStandIn.LateOrders late = (fault.target() % 3 == 0)
+				? new RunnerStandIn.LateOrders(UNANSWERED_PERCENT, true, false, 1, LOST_ANSWER_MILLIS)
+				: new RunnerStandIn.LateOrders(UNANSWERED_PERCENT, true, false, MIN_DELAY_MILLIS, DELAY_RANGE_MILLIS);
+		this.trace.accept("all endpoints have " + late);
 		this.cluster.endpoints().forEach((endpoint) -> endpoint.setLateOrders(late));
 		sleep(fault.forMillis());
 		this.cluster.endpoints().forEach((endpoint) -> endpoint.setLateOrders(RunnerStandIn.LateOrders.NONE));
--- a/soak/src/test/java/io/coriandermux/soak/ColdPlan.java
+++ b/soak/src/test/java/io/coriandermux/soak/ColdPlan.java
@@ -60,7 +60,7 @@
 		switch (this) {
 			case STORE -> {
 				plan.add(new Fault(500, Fault.Kind.BURST, 0, 4_000));
-				plan.add(new Fault(1_500, Fault.Kind.UNANSWERED_ORDERS, 0, 5_400));
+				plan.add(new Fault(1_500, Fault.Kind.UNANSWERED_ORDERS, random.nextInt(TARGETS), 5_400));
 				plan.add(new Fault(2_500, Fault.Kind.REFUSE_STORE, random.nextInt(TARGETS), 9_000));
 				// The configuration changes while a part of the entries can't read it,
 				// and
@@ -88,7 +88,7 @@
 				plan.add(new Fault(500, Fault.Kind.BURST, 0, 4_000));
 				plan.add(new Fault(1_000, Fault.Kind.GIVE_UP, random.nextInt(TARGETS), 6_000));
 				plan.add(new Fault(3_000, Fault.Kind.KILL_ENTRY, random.nextInt(TARGETS), 8_000));
-				plan.add(new Fault(4_100, Fault.Kind.UNANSWERED_ORDERS, 0, 5_900));
+				plan.add(new Fault(4_100, Fault.Kind.UNANSWERED_ORDERS, random.nextInt(TARGETS), 5_900));
 			}
 			default -> throw new IllegalStateException("the faults of this plan are drawn from the range");
 		}
--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -125,7 +125,7 @@
 
 		/**
 		 * All endpoints leave 5% of all orders unanswered and carry them out 2 s to 12 s
-		 * later.
+		 * later, or within 0.2 s.
 		 */
 		UNANSWERED_ORDERS,
 
