--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -131,7 +131,31 @@
 		 * endpoints: of another id, of a later start, or with a field that is missing or
 		 * of another type.
 		 */
-		FOREIGN_HEARTBEATS;
+		FOREIGN_HEARTBEATS,
+
+		/** Jobs arrive at 1.3 times the rate. */
+		BURST,
+
+		/**
+		 * All endpoints leave 5% of all orders unanswered and carry them out 2 s to 12 s
+		 * later, or within 0.2 s.
+		 */
+		UNANSWERED_ORDERS,
+
+		/**
+		 * The store resets the connections of 35% of the processes, and their
+		 * announcements are removed at once.
+		 */
+		REFUSE_STORE,
+
+		/** The links of 35% of the guards to entries and to the store deliver nothing. */
+		CUT_GUARDS,
+
+		/**
+		 * 35% of the callers leave within 30 ms or 900 ms of a request, and submit the
+		 * job again.
+		 */
+		GIVE_UP;
 
 		/** Whether the fault affects many processes or endpoints at once. */
 		boolean isWidespread() {
@@ -148,14 +172,14 @@
 		 * only, so that the plans of earlier seeds stay as they are.
 		 */
 		boolean isDrawnOnSite() {
-			return this != CUT_HALF_OPEN && this != RESTART_HALF_OPEN && this != HOLD_REQUESTS && this != SILENT_GUARD
-					&& this != FOREIGN_HEARTBEATS;
+			return this != CUT_HALF_OPEN && this != RESTART_HALF_OPEN && compareTo(HOLD_REQUESTS) < 0;
 		}
 
 		/** Whether the fault needs callers that connect through the balancer. */
 		boolean needsBalancer() {
 			return this == HALF_OPEN_CALLERS || this == HARM_CALLERS || this == FREEZE_RESET || this == PAUSE_HALF_OPEN
-					|| this == CUT_HALF_OPEN || this == RESTART_HALF_OPEN || this == HOLD_REQUESTS;
+					|| this == CUT_HALF_OPEN || this == RESTART_HALF_OPEN || this == HOLD_REQUESTS || this == BURST
+					|| this == GIVE_UP;
 		}
 
 		boolean isPlanned() {
--- a/soak/src/test/java/io/coriandermux/soak/SilentGuards.java
+++ b/soak/src/test/java/io/coriandermux/soak/SilentGuards.java
@@ -131,7 +131,7 @@
 		try {
 			strike(guard, number, mode, millis, seed);
 			if (unlisted) {
-				this.cluster.store().revokeLeases("/" + guard.name());
+				this.cluster.store().revoke((key) -> key.endsWith("/" + guard.name()));
 			}
 		}
 		catch (IOException ex) {
--- a/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
@@ -73,6 +73,25 @@
 		assertThat(resultOfLateStart(true)).contains("-> 200").contains("ms late");
 	}
 
+	@Example
+	void aRevokedAnnouncementIsRemovedAtOnce() throws Exception {
+		try (StoreStandIn store = new StoreStandIn((value) -> value)) {
+			send(store, "/v1/kv-lease", "{\"ttlMs\":60000}");
+			send(store, "/v1/kv-txn", "{\"puts\":[{\"key\":\"members/a\",\"value\":\"\",\"leaseId\":1}]}");
+			send(store, "/v1/kv-txn", "{\"puts\":[{\"key\":\"members/b\",\"value\":\"\",\"leaseId\":0}]}");
+			store.revoke((key) -> key.startsWith("members/"));
+			assertThat(send(store, "/v1/kv-range?prefix=members&after=", "")).contains("members/b")
+				.doesNotContain("members/a");
+		}
+	}
+
+	private static String send(StoreStandIn store, String path, String body) throws Exception {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + store.port() + path))
+			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.build();
+		return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
+	}
+
 	private String resultOfLateStart(boolean shiftsLeases) throws Exception {
 		int port = freePort();
 		try (RunnerStandIn endpoint = new RunnerStandIn("endpoint", Cluster.SERVICE, 1_000, port,
@@ -97,7 +116,7 @@
 			String lease = send(store, "/v1/kv-lease", "{\"ttlMs\":60000}").replaceAll(".*\"leaseId\":(\\d+).*", "$1");
 			send(store, "/v1/kv-txn", "{\"puts\":[{\"key\":\"members/guard-1\",\"value\":\"\",\"leaseId\":" + lease
 					+ "},{\"key\":\"members/guard-11\",\"value\":\"\"}]}");
-			store.revokeLeases("/guard-1");
+			store.revoke((key) -> key.endsWith("/guard-1"));
 			assertThat(send(store, "/v1/kv-range?prefix=members&after=", "")).contains("\"members/guard-11\"")
 				.doesNotContain("\"members/guard-1\"");
 			assertThat(send(store, "/v1/kv-keep/" + lease, "")).isEqualTo("{}");
