--- a/core/src/test/java/io/coriandermux/core/model/SilentGuardPlan.java
+++ b/core/src/test/java/io/coriandermux/core/model/SilentGuardPlan.java
@@ -1,8 +1,10 @@
 package io.coriandermux.core.model;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -92,6 +94,11 @@
 
 	private final Map<ModelGuard, Long> struckUntilNanos = new HashMap<>();
 
+	/** The tasks that were active at a guard when it was struck, with that time. */
+	private final Map<RunId, Long> struckNanos = new HashMap<>();
+
+	private final List<SecondStart> secondStarts = new ArrayList<>();
+
 	private int lastBatch;
 
 	/**
@@ -151,6 +158,9 @@
 
 	private void onStarted(ModelGuard guard, RunId run, long endNanos) {
 		long nowNanos = this.model.clock().nanos();
+		Optional.ofNullable(this.struckNanos.remove(RunChecker.task(run)))
+			.ifPresent((struck) -> this.secondStarts
+				.add(new SecondStart((nowNanos - struck) / ModelClock.NANOS_PER_MILLI, run.attempt())));
 		if (nowNanos >= endNanos || nowNanos < this.struckUntilNanos.getOrDefault(guard, 0L)
 				|| countStruck(nowNanos) >= this.model.guards().size() / GUARDS_PER_SILENT_ONE
 				|| this.random.nextInt(STRUCK_STARTS) != 0) {
@@ -159,6 +169,9 @@
 		long silentMillis = MIN_SILENT_MILLIS + this.random.nextLong(SILENT_RANGE_MILLIS);
 		this.struckUntilNanos.put(guard, nowNanos + 2 * silentMillis * ModelClock.NANOS_PER_MILLI);
 		this.model.clock().after(this.random.nextLong(STRIKE_RANGE_MILLIS * ModelClock.NANOS_PER_MILLI), () -> {
+			guard.endpoint()
+				.activeRuns()
+				.forEach((active) -> this.struckNanos.putIfAbsent(RunChecker.task(active), this.model.clock().nanos()));
 			this.faults.forEach((fault) -> strike(guard, fault, silentMillis));
 			surround(run);
 		});
@@ -248,4 +261,30 @@
 		return list.get(this.random.nextInt(list.size()));
 	}
 
+	/**
+	 * Returns the number of tasks that were active at a guard when it was struck.
+	 * @return the number
+	 */
+	int struckTasks() {
+		return this.struckNanos.size() + this.secondStarts.size();
+	}
+
+	/**
+	 * Returns the first later start of each of these tasks.
+	 * @return the starts
+	 */
+	List<SecondStart> secondStarts() {
+		return this.secondStarts;
+	}
+
+	/**
+	 * The start of a task that was active at a guard when it was struck.
+	 *
+	 * @param afterMillis time since the guard was struck, in milliseconds
+	 * @param number number of the run
+	 */
+	record SecondStart(long afterMillis, long number) {
+
+	}
+
 }
--- a/core/src/test/java/io/coriandermux/core/model/SilentGuardSurvey.java
+++ b/core/src/test/java/io/coriandermux/core/model/SilentGuardSurvey.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 
@@ -17,7 +18,8 @@
  */
 public final class SilentGuardSurvey {
 
-	private static final List<Set<GuardFault>> COMBINATIONS = List.of(EnumSet.of(GuardFault.PAUSE),
+	/** The combinations of faults that are played if none is named. */
+	static final List<Set<GuardFault>> COMBINATIONS = List.of(EnumSet.of(GuardFault.PAUSE),
 			EnumSet.of(GuardFault.ENDPOINT_CUT), EnumSet.of(GuardFault.ANSWERS_LOST),
 			EnumSet.of(GuardFault.ENTRIES_HEAR_NOTHING), EnumSet.of(GuardFault.GUARD_HEARS_NOTHING),
 			EnumSet.of(GuardFault.UNLISTED), EnumSet.of(GuardFault.UNLISTED, GuardFault.PAUSE),
@@ -65,6 +67,7 @@
 				results.stream().filter((result) -> !result.circumstances.isEmpty()).count(), count,
 				results.stream().filter(Result::premature).count(), results.stream().mapToLong(Result::completed).sum(),
 				results.stream().mapToLong(Result::submitted).sum());
+		printSecondStarts(results);
 		Map<String, Long> firstSeeds = new LinkedHashMap<>();
 		results.stream()
 			.filter((result) -> !result.circumstances.isEmpty())
@@ -72,14 +75,32 @@
 		firstSeeds.forEach((text, seed) -> System.out.printf("    %s, seed %d%n", text, seed));
 	}
 
+	private static void printSecondStarts(List<Result> results) {
+		List<SilentGuardPlan.SecondStart> starts = results.stream()
+			.flatMap((result) -> result.secondStarts.stream())
+			.toList();
+		long[] millis = starts.stream().mapToLong(SilentGuardPlan.SecondStart::afterMillis).sorted().toArray();
+		if (millis.length > 0) {
+			System.out.printf(
+					"    %d of %d tasks start again, first after %d ms, half of them after %d ms, numbers %s%n",
+					millis.length, results.stream().mapToLong(Result::struckTasks).sum(), millis[0],
+					millis[millis.length / 2],
+					starts.stream()
+						.collect(Collectors.groupingBy(SilentGuardPlan.SecondStart::number, TreeMap::new,
+								Collectors.counting())));
+		}
+	}
+
 	private static Result play(long seed, Set<GuardFault> faults, Set<Surroundings> surroundings, boolean printed) {
-		ClusterModel model = new SilentGuardPlan(seed, faults, surroundings).play();
+		SilentGuardPlan plan = new SilentGuardPlan(seed, faults, surroundings);
+		ClusterModel model = plan.play();
 		if (printed) {
 			print(model);
 		}
 		return new Result(seed, model.callers().submitted(), model.callers().completed(),
 				!model.prematureEnds().isEmpty(),
-				model.violations().stream().findFirst().map(RunChecker.Violation::circumstances).orElse(""));
+				model.violations().stream().findFirst().map(RunChecker.Violation::circumstances).orElse(""),
+				plan.struckTasks(), plan.secondStarts());
 	}
 
 	private static void print(ClusterModel model) {
@@ -90,7 +111,8 @@
 		model.prematureEnds().forEach(System.out::println);
 	}
 
-	private record Result(long seed, long submitted, long completed, boolean premature, String circumstances) {
+	private record Result(long seed, long submitted, long completed, boolean premature, String circumstances,
+			long struckTasks, List<SilentGuardPlan.SecondStart> secondStarts) {
 
 	}
 
