Send heartbeats of incarnations that do not exist in the soak

FOREIGN_HEARTBEAT, played by its name only, sends such a heartbeat up to 0.5 s after the start of a run.

--- a/soak/src/test/java/io/coriandermux/soak/Fault.java
+++ b/soak/src/test/java/io/coriandermux/soak/Fault.java
@@ -124,7 +124,13 @@
 		 * The guard of a run that has just started is paused, cut off from its endpoint,
 		 * from the entries in one direction or from the store, restarted or shut down.
 		 */
-		SILENT_GUARD;
+		SILENT_GUARD,
+
+		/**
+		 * A heartbeat names an incarnation of an endpoint that does not exist, while runs
+		 * that have just started are active there.
+		 */
+		FOREIGN_HEARTBEAT;
 
 		/** Whether the fault affects many processes or endpoints at once. */
 		boolean isWidespread() {
@@ -141,7 +147,8 @@
 		 * only, so that the plans of earlier seeds stay as they are.
 		 */
 		boolean isDrawnOnSite() {
-			return this != CUT_HALF_OPEN && this != RESTART_HALF_OPEN && this != HOLD_REQUESTS && this != SILENT_GUARD;
+			return this != CUT_HALF_OPEN && this != RESTART_HALF_OPEN && this != HOLD_REQUESTS && this != SILENT_GUARD
+					&& this != FOREIGN_HEARTBEAT;
 		}
 
 		/** Whether the fault needs callers that connect through the balancer. */
--- a/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultRangeTests.java
@@ -41,7 +41,7 @@
 	void siteSeedsPlayEachKindThatIsNotPlayedByNameOnly() {
 		Set<Fault.Kind> expected = new HashSet<>(Set.of(Fault.Kind.values()));
 		expected.removeAll(Set.of(Fault.Kind.CUT_HALF_OPEN, Fault.Kind.RESTART_HALF_OPEN, Fault.Kind.HOLD_REQUESTS,
-				Fault.Kind.SILENT_GUARD));
+				Fault.Kind.SILENT_GUARD, Fault.Kind.FOREIGN_HEARTBEAT));
 		assertThat(kindsOfManySeeds("site")).isEqualTo(expected);
 	}
 
--- a/soak/src/test/java/io/coriandermux/soak/SilentGuards.java
+++ b/soak/src/test/java/io/coriandermux/soak/SilentGuards.java
@@ -27,6 +27,11 @@
 
 	private static final int RESTART_DELAY_RANGE_MILLIS = 1_080;
 
+	/** The second starts of the records follow the first ones by 27 to 511 ms. */
+	private static final int HEARTBEAT_RANGE_MILLIS = 500;
+
+	private static final int MAX_LATER_START_MILLIS = 10_000;
+
 	private static final int UNANSWERED_PERCENT = 4;
 
 	private static final int MIN_LATE_MILLIS = 2_000;
@@ -113,6 +118,24 @@
 					delayMillis, TimeUnit.MILLISECONDS));
 	}
 
+	/**
+	 * Sends a heartbeat of an incarnation that does not exist to the guard of the next
+	 * run that starts.
+	 * @param choice the source of the fault
+	 */
+	void sendForeignHeartbeat(Random choice) {
+		String idSuffix = choice.nextBoolean() ? "-other" : "";
+		boolean later = idSuffix.isEmpty() || choice.nextBoolean();
+		long laterMillis = later ? 1 + choice.nextInt(MAX_LATER_START_MILLIS) : 0;
+		long delayMillis = choice.nextInt(HEARTBEAT_RANGE_MILLIS);
+		this.cluster.starts().awaitStart((number) -> this.scheduler.schedule(() -> {
+			this.disturbance.accept(0);
+			this.trace.accept("foreign heartbeat to " + this.cluster.guards().get(number).name() + ", id suffix "
+					+ idSuffix + ", born " + laterMillis + " ms later, " + delayMillis + " ms after a start");
+			this.cluster.endpoints().get(number).sendForeignHeartbeat(idSuffix, laterMillis);
+		}, delayMillis, TimeUnit.MILLISECONDS));
+	}
+
 	private void leaveUnanswered(long millis) {
 		this.disturbance.accept(millis + MIN_LATE_MILLIS + LATE_RANGE_MILLIS);
 		this.trace.accept(UNANSWERED_PERCENT + "% of the orders are not answered for " + millis + " ms");
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -129,6 +129,7 @@
 				case PAUSE_HALF_OPEN -> pauseHalfOpen(choice);
 				case HOLD_REQUESTS -> holdRequests(choice);
 				case SILENT_GUARD -> this.silentGuards.strikeNext(choice);
+				case FOREIGN_HEARTBEAT -> this.silentGuards.sendForeignHeartbeat(choice);
 				default -> throw new IllegalArgumentException("no fault of the sites: " + fault.kind());
 			}
 			sleep(choice.nextInt(SERIES_INTERVAL_MILLIS));
--- a/soak/src/test/java/io/coriandermux/soak/SoakRun.java
+++ b/soak/src/test/java/io/coriandermux/soak/SoakRun.java
@@ -368,7 +368,7 @@
 				case LATE_ORDERS_MANY -> delayOrders(new Random(fault.target()), fault);
 				case STORE -> impairStore(fault);
 				case RESTART_SOON, HALF_OPEN_CALLERS, HARM_CALLERS, PAUSE_LONG, FREEZE_RESET, PAUSE_HALF_OPEN,
-						HOLD_REQUESTS, SILENT_GUARD ->
+						HOLD_REQUESTS, SILENT_GUARD, FOREIGN_HEARTBEAT ->
 					this.siteFaults.inject(fault);
 				default -> impairEndpoint(
 						this.cluster.endpoints().get(fault.target() % this.cluster.endpoints().size()), fault);
--- a/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
@@ -2,17 +2,20 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import com.sun.net.httpserver.HttpServer;
 import io.coriandermux.platform.standin.JobsClient;
 import io.coriandermux.platform.standin.RunObserver;
 import io.coriandermux.platform.standin.RunnerStandIn;
@@ -105,6 +108,35 @@
 		}
 	}
 
+	@Example
+	void aForeignHeartbeatNamesAnotherIncarnation() throws Exception {
+		BlockingQueue<String> heartbeats = new LinkedBlockingQueue<>();
+		HttpServer guard = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		guard.createContext("/", (exchange) -> {
+			heartbeats.add(exchange.getRequestURI().getPath() + " "
+					+ new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
+			exchange.sendResponseHeaders(200, -1);
+			exchange.close();
+		});
+		guard.start();
+		try (RunnerStandIn endpoint = new RunnerStandIn("endpoint", Cluster.SERVICE, 1_000, freePort(),
+				URI.create("http://127.0.0.1:" + guard.getAddress().getPort()), new OrderObserver(), 1)) {
+			String own = heartbeats.poll(DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			assertThat(own).startsWith("/v1/Instances.Heartbeat/endpoint-1 ");
+			long born = Long.parseLong(own.replaceAll(".*\"born\":(\\d+).*", "$1"));
+			endpoint.sendForeignHeartbeat("-other", 7);
+			String foreign = heartbeats.poll(DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			while (foreign != null && !foreign.contains("-other")) {
+				foreign = heartbeats.poll(DELAY_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			assertThat(foreign).startsWith("/v1/Instances.Heartbeat/endpoint-1-other ")
+				.contains("\"born\":" + (born + 7) + ",");
+		}
+		finally {
+			guard.stop(0);
+		}
+	}
+
 	private String send(StoreStandIn store, String path, String body) throws Exception {
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + store.port() + path))
 			.POST(HttpRequest.BodyPublishers.ofString(body))
