--- a/soak/src/test/java/io/coriandermux/soak/SilentGuards.java
+++ b/soak/src/test/java/io/coriandermux/soak/SilentGuards.java
@@ -27,6 +27,9 @@
 
 	private static final int RESTART_DELAY_RANGE_MILLIS = 1_080;
 
+	/** The second starts of the records follow the first ones by 27 to 511 ms. */
+	private static final int HEARTBEAT_RANGE_MILLIS = 500;
+
 	private static final int UNANSWERED_PERCENT = 4;
 
 	private static final int MIN_LATE_MILLIS = 2_000;
@@ -113,6 +116,19 @@
 					delayMillis, TimeUnit.MILLISECONDS));
 	}
 
+	/**
+	 * Sends a heartbeat of another writer to the guard of the next run that starts.
+	 * @param kind what differs in it
+	 * @param choice the source of the delay
+	 */
+	void sendForeignHeartbeat(RunnerStandIn.ForeignHeartbeat kind, Random choice) {
+		long delayMillis = choice.nextInt(HEARTBEAT_RANGE_MILLIS);
+		this.cluster.starts().awaitStart((number) -> this.scheduler.schedule(() -> {
+			this.disturbance.accept(0);
+			this.cluster.endpoints().get(number).sendForeignHeartbeat(kind);
+		}, delayMillis, TimeUnit.MILLISECONDS));
+	}
+
 	private void leaveUnanswered(long millis) {
 		this.disturbance.accept(millis + MIN_LATE_MILLIS + LATE_RANGE_MILLIS);
 		this.trace.accept(UNANSWERED_PERCENT + "% of the orders are not answered for " + millis + " ms");
--- a/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
+++ b/soak/src/test/java/io/coriandermux/soak/SiteFaults.java
@@ -194,6 +194,7 @@
 		RunnerStandIn.ForeignHeartbeat[] kinds = RunnerStandIn.ForeignHeartbeat.values();
 		this.disturbance.accept(0);
 		endpoints.forEach((endpoint) -> endpoint.sendForeignHeartbeat(kinds[choice.nextInt(kinds.length)]));
+		this.silentGuards.sendForeignHeartbeat(kinds[choice.nextInt(kinds.length)], choice);
 	}
 
 	private void cutHalfOpen(Random choice) throws InterruptedException {
