Test conclusions from polls around an unconfirmed incarnation

Two paths by which a heartbeat of another writer could end runs or settle a guard had no test: an announced incarnation whose polls stay unanswered for 2 s, and the answer to a poll that was sent before the first heartbeat, whose start equals that of the endpoint.

--- a/core/src/test/java/io/coriandermux/core/lease/EndpointIncarnationTests.java
+++ b/core/src/test/java/io/coriandermux/core/lease/EndpointIncarnationTests.java
@@ -174,6 +174,51 @@
 		assertThat(this.harness.leaseManager.status().accepting()).isTrue();
 	}
 
+	// Guards against runs that are reported as lost, and orders that are addressed to the
+	// announced incarnation, because the endpoint leaves the polls unanswered that would
+	// show that the known one is still there.
+	@Example
+	void reportsRunsAsLapsedOnlyOnceTheirLeaseHasExpiredIfNoPollForAnAnnouncedIncarnationIsAnswered() {
+		runListed();
+		this.harness.leases.clear();
+		this.harness.sendHeartbeat(new EndpointIncarnation("i-2", 2000), false);
+		leavePollsUnanswered(600);
+		assertThat(this.harness.outcomes(RUN)).isEmpty();
+		leavePollsUnanswered(1400);
+		assertThat(this.harness.outcomes(RUN)).containsExactly(RunOutcome.LAPSED);
+		assertThat(this.harness.leases).noneMatch((lease) -> lease.endpointId().equals("i-2"));
+		assertThat(this.harness.leases).allMatch((lease) -> lease.expiresAtMillis().isEmpty());
+		assertThat(this.harness.leaseManager.status().endpoint()).isEqualTo(KNOWN.toString());
+	}
+
+	// Guards against a guard that counts as settled, and reports runs of its predecessor
+	// as ended, because of an answer to a poll that named no incarnation.
+	@Example
+	void drawsNoConclusionFromTheAnswerToAPollThatWasSentBeforeTheFirstHeartbeat() {
+		LeaseManagerHarness guard = new LeaseManagerHarness();
+		guard.connect(LeaseManagerHarness.ENTRY);
+		guard.advance(300);
+		Poll earlier = guard.polls.get(0);
+		guard.sendHeartbeat(new EndpointIncarnation("i-2", KNOWN.startedAtMillis()), false);
+		guard.answerPoll(earlier, List.of(), List.of());
+		assertThat(guard.leaseManager.confirmedReport()).isEmpty();
+		assertThat(guard.leaseManager.status().settled()).isFalse();
+		Poll addressed = guard.polls.get(guard.polls.size() - 1);
+		guard.leaseManager.onPollAnswered(addressed, OrderResult.OTHER_LIFE, Optional.empty(), guard.now());
+		guard.sendHeartbeat(KNOWN, false);
+		guard.answerPoll(List.of(), List.of());
+		assertThat(guard.leaseManager.confirmedReport()).map(EndpointReport::incarnation).contains(KNOWN);
+		assertThat(guard.leaseManager.status().accepting()).isTrue();
+	}
+
+	private void leavePollsUnanswered(long millis) {
+		for (long elapsed = 0; elapsed < millis; elapsed += 50) {
+			this.harness.leaseManager.onPollAnswered(lastPoll(), OrderResult.UNANSWERED, Optional.empty(),
+					this.harness.now());
+			this.harness.advance(50);
+		}
+	}
+
 	private void runListed() {
 		this.harness.startRunning(RUN);
 		this.harness.answerPoll(List.of(new ActiveRun(RUN, 1)), List.of());
