Reject reports in announcements whose labels are missing or mistyped

Cause: the list of labels was read as empty if it was missing, an object or a text, while the other fields of the report were checked. A guard that restored such a value of another writer would offer its endpoint without labels until the next heartbeat.

Change: the field has to be a list, as it is in heartbeats.

--- a/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
+++ b/daemon/src/main/java/io/coriandermux/daemon/batch/AnnouncementFormat.java
@@ -98,6 +98,9 @@
 			return Optional.empty();
 		}
 		JsonNode node = announcement.path(ENDPOINT);
+		if (!node.path("labels").isArray()) {
+			throw new MalformedValueException("labels: a list is expected");
+		}
 		Set<String> labels = new LinkedHashSet<>();
 		for (JsonNode label : node.path("labels")) {
 			if (!label.isTextual()) {
--- a/daemon/src/test/java/io/coriandermux/daemon/batch/AnnouncementFormatTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/AnnouncementFormatTests.java
@@ -76,6 +76,19 @@
 		assertThat(reader.read(new KvSnapshot(6, List.of()))).isEmpty();
 	}
 
+	// Guards against a restored report without labels, with which the guard would receive
+	// no run that requires one, because another writer has left them out.
+	@Example
+	void rejectsReportsWhoseLabelsAreMissingOrMistyped() {
+		String value = AnnouncementFormat.write(GUARD, Optional.of(REPORT)).value();
+		for (String labels : new String[] { "", ",\"labels\":{}", ",\"labels\":\"a\"", ",\"labels\":null" }) {
+			String changed = value.replaceFirst(",\"labels\":\\[[^]]*]", labels);
+			assertThat(changed).isNotEqualTo(value);
+			assertThatExceptionOfType(MalformedValueException.class)
+				.isThrownBy(() -> AnnouncementFormat.readReport(changed, 17));
+		}
+	}
+
 	@Example
 	void rejectsMalformedAnnouncements() {
 		String key = AnnouncementFormat.write(GUARD, Optional.empty()).key();
