Add a failing test of an announcement that another writer replaces

A value without a protocol counts as one of the first protocol, so the guard leaves the list from which entries select the keepers of claims. With an empty list a batch counts as granted.

Keeping the later protocol at the entries alone would make the lists of entries differ that have started before and after the change.

--- a/daemon/src/test/java/io/coriandermux/daemon/batch/ClaimPeersTests.java
+++ b/daemon/src/test/java/io/coriandermux/daemon/batch/ClaimPeersTests.java
@@ -15,6 +15,7 @@
 import io.coriandermux.wire.PeerName;
 import io.coriandermux.wire.PeerRole;
 import net.jqwik.api.Example;
+import net.jqwik.api.Tag;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -144,6 +145,20 @@
 		assertThat(this.lists).containsExactly(Set.of(GUARD_ID), Set.of());
 	}
 
+	// Guards against entries that select other guards for a batch, or start it without a
+	// claim if no guard is left, because another writer has replaced an announcement by
+	// one without a protocol. The protocol of an incarnation does not change.
+	@Example
+	@Tag("known-red")
+	void keepsAConnectedGuardWhoseIncarnationIsAnnouncedAgainWithAnEarlierProtocol() {
+		this.guards.onMembers(List.of(member(NEXT, 3)));
+		this.guards.onConnected(NEXT, 0);
+		this.guards.onMembers(List.of(member(NEXT, 1)));
+		this.guards.send(GUARD, CLAIM);
+		assertThat(this.lists).containsExactly(Set.of(GUARD_ID));
+		assertThat(this.sent).containsExactly(CLAIM);
+	}
+
 	@Example
 	void keepsAGuardThatIsAnnouncedButNotConnected() {
 		this.guards.onMembers(List.of(member(NEXT, 3)));
