Wait for an announced guard without a link when a batch is taken over

A take-over did not wait for a guard to which the entry had had no link for 14 s. Such a guard is alive as long as it is announced, and the entry that has the batch may have a link to it and start runs there until it learns of the take-over. The 14 s now count from the take-over for a guard that is announced.

BatchClaimTests: the new test fails without the change (starts b1.0.0#1) and passes with it.

While such a guard is listed, batches of entries that are lost are answered as unfinished for 14 s instead of being started again.

--- a/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/BatchClaims.java
@@ -272,6 +272,7 @@
 		Claim claim = this.claims.get(batch);
 		claim.number = nextNumber(now);
 		claim.state = State.TAKING_OVER;
+		claim.takeOverNanos = now.nanos();
 		this.guards.connected().forEach((guard) -> {
 			claim.pending.add(guard);
 			sendTakeOver(claim, guard);
@@ -431,12 +432,19 @@
 			case CLAIMING -> isGrantedByKeepers(claim, now) || isGrantedByPeers(claim, now);
 			case CLAIMING_EVERYWHERE ->
 				isGrantedByKeepers(claim, now) || isFreeEverywhere(claim) || isGrantedByPeers(claim, now);
-			case TAKING_OVER -> claim.pending.isEmpty() && !this.guards.connected().isEmpty()
-					&& !this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos());
+			case TAKING_OVER ->
+				claim.pending.isEmpty() && !this.guards.connected().isEmpty() && !mayRunAtAbsentGuard(claim, now);
 			case UNCLAIMED, GRANTED -> false;
 		};
 	}
 
+	// A guard that is still announced is alive. However long it has had no link to this
+	// entry, the other entry may have started a run there just now.
+	private boolean mayRunAtAbsentGuard(Claim claim, Moment now) {
+		return this.guards.isAnyAbsentFor(LATE_START_END_NANOS, now.nanos())
+				|| (this.guards.isAnyListedAbsent() && now.nanos() - claim.takeOverNanos < LATE_START_END_NANOS);
+	}
+
 	// The end that the other entry has announced may be that of an earlier claim, so its
 	// claim is replaced only if no guard has runs of it.
 	private boolean isGrantedByKeepers(Claim claim, Moment now) {
@@ -558,6 +566,8 @@
 
 		private long askedNanos;
 
+		private long takeOverNanos;
+
 		private boolean peersAsked;
 
 		private long peersAskedNanos;
--- a/core/src/main/java/io/coriandermux/core/dispatch/ClaimMembers.java
+++ b/core/src/main/java/io/coriandermux/core/dispatch/ClaimMembers.java
@@ -141,6 +141,15 @@
 		return this.absent.values().stream().anyMatch((since) -> nowNanos - since < nanos);
 	}
 
+	/**
+	 * Returns whether some listed process has no link. It may be alive, and other entries
+	 * may use it.
+	 * @return whether one is away, for however long
+	 */
+	boolean isAnyListedAbsent() {
+		return this.absent.keySet().stream().anyMatch(this.listed::contains);
+	}
+
 	boolean isAbsentFor(I member, long nanos, long nowNanos) {
 		Long since = this.absent.get(member);
 		return since != null && nowNanos - since >= nanos;
--- a/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
+++ b/core/src/test/java/io/coriandermux/core/dispatch/BatchClaimTests.java
@@ -261,6 +261,34 @@
 		assertThat(this.fixture.starts()).isEmpty();
 	}
 
+	// Guards against a second run beside one that the other entry has just started at a
+	// guard to which this entry has had no link for long.
+	@Example
+	void doesNotTakeABatchOverWhileAnAnnouncedGuardHasHadNoLinkForLong() {
+		this.fixture.dispatcher.onGuardLost(new GuardId("g5"), DispatcherFixture.INCARNATION, this.fixture.now());
+		this.fixture.advance(30_000);
+		this.fixture.submit("/q/b1", new BatchRequest(BATCH, "spec",
+				new TaskGroup(1, DispatcherFixture.NEEDS, 200, "", "", 0), 60_000, Optional.empty()));
+		answerHeld(asked().get(0), PEER_CLAIM, 1_300);
+		List.of("g1", "g2", "g3", "g4").forEach((guard) -> answerTakeOver(guard, true));
+		this.fixture.advance(13_900);
+		assertThat(this.fixture.starts()).isEmpty();
+		this.fixture.advance(200);
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
+	@Example
+	void takesABatchOverAtOnceIfALostGuardIsNoLongerAnnounced() {
+		this.fixture.dispatcher.onGuardLost(new GuardId("g5"), DispatcherFixture.INCARNATION, this.fixture.now());
+		this.fixture.dispatcher.onGuardsListed(ids("g1", "g2", "g3", "g4"), this.fixture.now());
+		this.fixture.advance(30_000);
+		this.fixture.submit("b1", 1);
+		answerHeld(asked().get(0), PEER_CLAIM, 1_300);
+		List.of("g1", "g2", "g3", "g4").forEach((guard) -> answerTakeOver(guard, true));
+		this.fixture.dispatcher.placeIfDue(this.fixture.now());
+		assertThat(this.fixture.starts()).hasSize(1);
+	}
+
 	@Example
 	void refusesNoBatchAsNotRunThatAnotherEntryHasClaimed() {
 		CallerRef caller = this.fixture.submit("b1", 1);
