Send heartbeats of incarnations that do not exist in the model of silent guards

FOREIGN_HEARTBEAT sends one to three such heartbeats while the guard is silent, alone and together with a pause, lost answers and a restart of the guard.

--- a/core/src/test/java/io/coriandermux/core/model/GuardFault.java
+++ b/core/src/test/java/io/coriandermux/core/model/GuardFault.java
@@ -27,6 +27,12 @@
 	RESTART,
 
 	/** The process is asked to end, and is started again when it has ended. */
-	STOP
+	STOP,
+
+	/**
+	 * Heartbeats name an incarnation of the endpoint that does not exist, with another
+	 * id, a later start, or both.
+	 */
+	FOREIGN_HEARTBEAT
 
 }
--- a/core/src/test/java/io/coriandermux/core/model/SilentGuardPlan.java
+++ b/core/src/test/java/io/coriandermux/core/model/SilentGuardPlan.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import io.coriandermux.core.lease.EndpointIncarnation;
+import io.coriandermux.core.lease.EndpointReport;
 import io.coriandermux.core.run.RunId;
 
 /**
@@ -44,6 +46,8 @@
 
 	private static final long SILENT_RANGE_MILLIS = 400;
 
+	private static final int MAX_FOREIGN_HEARTBEATS = 3;
+
 	private static final long MIN_DOWN_MILLIS = 20;
 
 	private static final long DOWN_RANGE_MILLIS = 1_080;
@@ -199,6 +203,7 @@
 				this.model.clock().afterMillis(MIN_DOWN_MILLIS + this.random.nextLong(DOWN_RANGE_MILLIS), guard::start);
 			}
 			case STOP -> guard.stop(STOP_LIMIT_MILLIS, MIN_DOWN_MILLIS + this.random.nextLong(DOWN_RANGE_MILLIS));
+			case FOREIGN_HEARTBEAT -> sendForeignHeartbeats(guard, silentMillis);
 			default -> throw new IllegalArgumentException(fault.name());
 		}
 	}
@@ -209,6 +214,21 @@
 		this.model.clock().afterMillis(millis, () -> endpoint.setFates(this::fate));
 	}
 
+	private void sendForeignHeartbeats(ModelGuard guard, long silentMillis) {
+		String idSuffix = this.random.nextBoolean() ? "-other" : "";
+		long laterMillis = (idSuffix.isEmpty() || this.random.nextBoolean()) ? 1 + this.random.nextLong(10_000) : 0;
+		for (int remaining = 1 + this.random.nextInt(MAX_FOREIGN_HEARTBEATS); remaining > 0; remaining--) {
+			this.model.clock().afterMillis(this.random.nextLong(silentMillis), () -> {
+				EndpointReport own = guard.endpoint().report();
+				EndpointIncarnation other = new EndpointIncarnation(own.incarnation().id() + idSuffix,
+						own.incarnation().startedAtMillis() + laterMillis);
+				guard.log("FAULT heartbeat of " + other);
+				guard.receive(new EndpointReport(other, own.sequence(), own.pool(), own.labels(), own.capacity(),
+						own.draining()));
+			});
+		}
+	}
+
 	private void unlist(ModelEntry entry, ModelGuard guard, long silentMillis) {
 		long lateMillis = this.random.nextLong(LIST_RANGE_MILLIS);
 		this.model.clock().afterMillis(lateMillis, () -> entry.setAnnounced(guard.id(), false));
--- a/core/src/test/java/io/coriandermux/core/model/SilentGuardSurvey.java
+++ b/core/src/test/java/io/coriandermux/core/model/SilentGuardSurvey.java
@@ -28,7 +28,10 @@
 			EnumSet.of(GuardFault.UNLISTED, GuardFault.ENTRIES_HEAR_NOTHING),
 			EnumSet.of(GuardFault.UNLISTED, GuardFault.GUARD_HEARS_NOTHING), EnumSet.of(GuardFault.RESTART),
 			EnumSet.of(GuardFault.UNLISTED, GuardFault.RESTART), EnumSet.of(GuardFault.STOP),
-			EnumSet.of(GuardFault.STOP, GuardFault.ENDPOINT_CUT));
+			EnumSet.of(GuardFault.STOP, GuardFault.ENDPOINT_CUT), EnumSet.of(GuardFault.FOREIGN_HEARTBEAT),
+			EnumSet.of(GuardFault.FOREIGN_HEARTBEAT, GuardFault.PAUSE),
+			EnumSet.of(GuardFault.FOREIGN_HEARTBEAT, GuardFault.ANSWERS_LOST),
+			EnumSet.of(GuardFault.FOREIGN_HEARTBEAT, GuardFault.RESTART));
 
 	private SilentGuardSurvey() {
 	}
