--- a/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/StandInFaultTests.java
@@ -90,6 +90,47 @@
 		return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
 	}
 
+	@Example
+	void noOrderProlongsALeaseThatHasExpiredWhileTheEndpointStoodStill() throws Exception {
+		assertThat(endAfterStandstill(5_000)).isEqualTo("lapsed");
+	}
+
+	@Example
+	void aRunThatWasDueBeforeTheEndOfItsLeaseIsDoneAfterAStandstill() throws Exception {
+		assertThat(endAfterStandstill(300)).isEqualTo("done");
+	}
+
+	// An order that prolongs the lease waits while the endpoint stands still.
+	private String endAfterStandstill(long runMillis) throws Exception {
+		int port = freePort();
+		OrderObserver observer = new OrderObserver();
+		try (RunnerStandIn endpoint = new RunnerStandIn("endpoint", Cluster.SERVICE, 1_000, port,
+				URI.create("http://127.0.0.1:" + freePort()), observer, 3)) {
+			send(port, "/v1/hold", body(runMillis, 0));
+			send(port, "/v1/run-start", body(runMillis, 1_000));
+			CompletableFuture<Void> prolonged;
+			synchronized (endpoint) {
+				prolonged = CompletableFuture.runAsync(() -> send(port, "/v1/hold", body(runMillis, 4_000)));
+				Thread.sleep(1_500);
+			}
+			prolonged.get(5, TimeUnit.SECONDS);
+			return observer.ends.poll(1, TimeUnit.SECONDS);
+		}
+	}
+
+	private static String body(long runMillis, long leaseMillis) {
+		return "{\"task\":\"job.0.0.0\",\"runId\":1,\"fencingToken\":1,\"lastSeen\":0,\"waitMs\":0,\"spec\":\""
+				+ runMillis + "\",\"deadlineMs\":" + (System.nanoTime() / NANOS_PER_MILLI + leaseMillis) + "}";
+	}
+
+	private static void send(int port, String path, String body) {
+		HttpClient.newHttpClient()
+			.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+				.POST(HttpRequest.BodyPublishers.ofString(body))
+				.build(), HttpResponse.BodyHandlers.discarding())
+			.join();
+	}
+
 	private String resultOfLateStart(boolean shiftsLeases) throws Exception {
 		int port = freePort();
 		try (RunnerStandIn endpoint = new RunnerStandIn("endpoint", Cluster.SERVICE, 1_000, port,
@@ -116,6 +157,8 @@
 
 	private final class OrderObserver implements RunObserver {
 
+		private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+
 		@Override
 		public void onRunStarted(String endpoint, String task, long run, String spec, long drainingMillis) {
 			assertThat(task).isEqualTo("job.0.0.0");
@@ -124,6 +167,7 @@
 		@Override
 		public void onRunEnded(String endpoint, String task, long run, String outcome) {
 			assertThat(task).isEqualTo("job.0.0.0");
+			this.ends.add(outcome);
 		}
 
 		@Override
