Let the test of refusing proxies wait for the mode

Cause: setMode hands the mode to the thread of the proxies.

Change: the test connects up to five times until a connection is forwarded.

Result: the class passes; before, a thread dump of the hanging run showed accept of this test.

--- a/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
+++ b/soak/src/test/java/io/coriandermux/soak/FaultProxyTests.java
@@ -91,10 +91,24 @@
 			assertIsReset(refused);
 		}
 		this.proxy.setMode(FaultProxy.Mode.PASS);
+		this.server.setSoTimeout(QUIET_MILLIS);
+		boolean forwarded = false;
+		// The thread of the proxies applies the mode, perhaps after the first connection.
+		for (int attempt = 0; attempt < 5 && !forwarded; attempt++) {
+			forwarded = forwardsANewConnection();
+		}
+		assertThat(forwarded).isTrue();
+	}
+
+	private boolean forwardsANewConnection() throws IOException {
 		try (Socket accepted = new Socket(InetAddress.getLoopbackAddress(), this.proxy.port());
 				Socket acceptedTarget = this.server.accept()) {
 			acceptedTarget.setSoTimeout(QUIET_MILLIS);
 			transfer(accepted, acceptedTarget, 1);
+			return true;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
 		}
 	}
 
